Project: a thin whole path in separate processes

From an empty repository to requests served end to end: instances, control replicas, targets that announce themselves, callers whose packets are sprayed over all instances, tickets agreed on by single-decree Paxos per log entry and synced before they are acknowledged.

Ownership still rests on suspicion alone; the agreed roster follows.

--- /dev/null
+++ b/CMake/Dependencies.cmake
@@ -0,0 +1,12 @@
+# Libraries from the Debian packages that the README's install line names.
+# Libraries without a CMake package of their own are found by name.
+find_package(Threads REQUIRED)
+find_package(gflags REQUIRED)
+find_package(glog REQUIRED)
+find_package(Boost 1.74 REQUIRED)
+find_package(Protobuf REQUIRED)
+find_library(ZMQ_LIBRARY zmq REQUIRED)
+find_library(XXHASH_LIBRARY xxhash REQUIRED)
+find_library(CXXTOOLS_LIBRARY cxxtools REQUIRED)
+find_library(CXXTOOLS_HTTP_LIBRARY cxxtools-http REQUIRED)
+find_package(rapidcheck REQUIRED)
--- /dev/null
+++ b/Source/Directory/log_entry.cc
@@ -0,0 +1,54 @@
+#include "Directory/log_entry.h"
+
+#include "Wire/lavendertack.pb.h"
+
+namespace lavendertack {
+
+std::optional<log_entry> DecodeEntry(std::string_view bytes) {
+  wire::log_entry entry;
+  if (!entry.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return std::nullopt;
+  }
+  if (entry.has_ticket()) {
+    auto ticket = DecodeTicket(bytes);
+    if (std::holds_alternative<ticket_error>(ticket)) return std::nullopt;
+    return std::get<change_ticket>(std::move(ticket));
+  }
+  if (entry.has_roster()) {
+    roster_change change{.data_centre = {entry.roster().data_centre()},
+                         .instances = {},
+                         .based_on = {entry.roster().based_on()}};
+    for (const std::string& name : entry.roster().instances()) {
+      change.instances.push_back({name});
+    }
+    return change;
+  }
+  if (entry.has_replicas()) {
+    return replica_change{.removed = {entry.replicas().removed()},
+                          .added = {entry.replicas().added()},
+                          .added_storage = entry.replicas().added_storage()};
+  }
+  return std::nullopt;
+}
+
+std::string EncodeEntry(const roster_change& change) {
+  wire::log_entry entry;
+  auto* roster = entry.mutable_roster();
+  roster->set_data_centre(change.data_centre.value);
+  for (const instance_name& name : change.instances) {
+    roster->add_instances(name.value);
+  }
+  roster->set_based_on(change.based_on.value);
+  return entry.SerializeAsString();
+}
+
+std::string EncodeEntry(const replica_change& change) {
+  wire::log_entry entry;
+  auto* replicas = entry.mutable_replicas();
+  replicas->set_removed(change.removed.value);
+  replicas->set_added(change.added.value);
+  replicas->set_added_storage(change.added_storage);
+  return entry.SerializeAsString();
+}
+
+}  // namespace lavendertack
--- /dev/null
+++ b/Source/Membership/membership.cc
@@ -0,0 +1,38 @@
+#include "Membership/membership.h"
+
+namespace lavendertack {
+
+membership::membership(instance_name self, std::vector<member> members)
+    : self_(std::move(self)) {
+  for (member& m : members) {
+    const instance_name name = m.name;
+    members_.emplace(name, std::move(m));
+  }
+}
+
+void membership::Heard(instant now, const instance_name& from,
+                       const wire::heartbeat& heartbeat) {
+  auto it = members_.find(from);
+  if (it == members_.end()) return;
+  it->second.last_heard = now;
+  it->second.last = heartbeat;
+}
+
+bool membership::IsAlive(instant now, const instance_name& name) const {
+  if (name == self_) return true;
+  auto it = members_.find(name);
+  if (it == members_.end() || !it->second.last_heard) return false;
+  return !it->second.last.leaving() &&
+         now - *it->second.last_heard < kSuspectAfter;
+}
+
+std::vector<instance_name> membership::AliveIn(
+    instant now, const data_centre_name& name) const {
+  std::vector<instance_name> alive;
+  for (const auto& [id, m] : members_) {
+    if (m.data_centre == name && IsAlive(now, id)) alive.push_back(id);
+  }
+  return alive;
+}
+
+}  // namespace lavendertack
--- /dev/null
+++ b/Source/Membership/membership.h
@@ -0,0 +1,50 @@
+// Which instances answer, and what they last said of themselves. This is
+// suspicion only: it moves load.
+#ifndef LAVENDERTACK_MEMBERSHIP_MEMBERSHIP_H_
+#define LAVENDERTACK_MEMBERSHIP_MEMBERSHIP_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Common/instant.h"
+#include "Common/strong_type.h"
+#include "Wire/lavendertack.pb.h"
+
+namespace lavendertack {
+
+// Time between two heartbeats to the same instance.
+inline constexpr milliseconds kHeartbeatInterval{200};
+// An instance that is silent for so long is suspected.
+inline constexpr milliseconds kSuspectAfter{1000};
+
+struct member {
+  instance_name name;
+  data_centre_name data_centre;
+  bool replica = false;
+  std::optional<instant> last_heard;
+  wire::heartbeat last;
+};
+
+class membership {
+ public:
+  membership(instance_name self, std::vector<member> members);
+
+  void Heard(instant now, const instance_name& from,
+             const wire::heartbeat& heartbeat);
+  bool IsAlive(instant now, const instance_name& name) const;
+  // Names of the data centre's instances that are alive, in order.
+  std::vector<instance_name> AliveIn(instant now,
+                                     const data_centre_name& name) const;
+  const std::map<instance_name, member>& members() const { return members_; }
+  const instance_name& self() const { return self_; }
+
+ private:
+  instance_name self_;
+  std::map<instance_name, member> members_;
+};
+
+}  // namespace lavendertack
+
+#endif  // LAVENDERTACK_MEMBERSHIP_MEMBERSHIP_H_
--- /dev/null
+++ b/Source/Node/node.cc
@@ -0,0 +1,373 @@
+#include "Node/node.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <set>
+
+#include "Directory/log_entry.h"
+#include "Wire/codec.h"
+
+namespace lavendertack {
+namespace {
+
+// A packet is handed on at most so often inside the system.
+constexpr std::uint32_t kMaxHops = 2;
+// When a caller that no instance could serve may come back.
+constexpr milliseconds kComeBack{500};
+// Verdicts kept for proposals that are still being answered.
+constexpr std::size_t kKeptVerdicts = 64;
+
+agreement_settings AgreementSettings(const node_settings& settings) {
+  agreement_settings result{.self = settings.self,
+                            .replica = settings.replica,
+                            .replicas = {},
+                            .seed = settings.seed};
+  for (const member& m : settings.members) {
+    if (m.replica) result.replicas.push_back(m.name);
+  }
+  return result;
+}
+
+request_number RequestOf(const caller_packet& packet) {
+  const auto* request = std::get_if<run_request>(&packet.body);
+  return request == nullptr ? request_number{} : request->number;
+}
+
+}  // namespace
+
+node::node(node_settings settings)
+    : settings_(std::move(settings)),
+      membership_(settings_.self, settings_.members),
+      agreement_(AgreementSettings(settings_),
+                 [this](const std::string& value) {
+                   auto ticket = DecodeTicket(value);
+                   if (!std::holds_alternative<change_ticket>(ticket)) {
+                     return false;
+                   }
+                   const auto verdict =
+                       directory_.Check(std::get<change_ticket>(ticket));
+                   return std::holds_alternative<ticket_accepted>(verdict);
+                 }) {}
+
+void node::Restore(const wire::stored_record& record) {
+  agreement_.Restore(record);
+  if (!record.has_chosen()) return;
+  for (const std::string& value : record.chosen().values()) {
+    ApplyChosen({log_index{directory_.applied().value + 1}, value});
+  }
+  effects_.clear();
+}
+
+std::vector<node_effect> node::Reduce(instant now, const node_event& event) {
+  now_ = now;
+  effects_.clear();
+  std::visit([this](const auto& e) { Handle(e); }, event);
+  return std::move(effects_);
+}
+
+void node::Handle(const caller_spoke& event) {
+  RoutePacket(event.packet, event.from, 0, milliseconds(0));
+}
+
+void node::RoutePacket(const caller_packet& packet,
+                       const caller_address& caller, std::uint32_t hops,
+                       milliseconds waited) {
+  const placement_view view = ViewFor(packet.service);
+  const auto* request = std::get_if<run_request>(&packet.body);
+  placement where;
+  if (packet.token) {
+    where = PlaceEstablished(view, *packet.token,
+                             request != nullptr && !request->repeatable);
+  } else if (std::holds_alternative<open_flow>(packet.body)) {
+    where = PlaceNewFlow(view, packet.service, packet.flow);
+  } else {
+    where = place_refused{answer_kind::kFlowLost, refusal_reason::kNone};
+  }
+  if (const auto* refusal = std::get_if<place_refused>(&where)) {
+    RefusePacket(packet, caller, *refusal);
+    return;
+  }
+  const auto& place = std::get<place_at>(where);
+  if (place.owner == settings_.self) {
+    RunShard(packet.service, shard_packet{packet, caller, waited});
+    return;
+  }
+  Forward(place, packet, caller, hops, waited);
+}
+
+void node::Forward(const place_at& place, const caller_packet& packet,
+                   const caller_address& caller, std::uint32_t hops,
+                   milliseconds waited) {
+  if (hops >= kMaxHops) {
+    RefusePacket(packet, caller,
+                 {answer_kind::kNotRun, refusal_reason::kOwnerUnreachable});
+    return;
+  }
+  wire::peer_message message = NewPeerMessage();
+  auto* forwarded = message.mutable_packet();
+  *forwarded->mutable_packet() = ToWire(packet);
+  forwarded->set_caller_address(caller.value);
+  forwarded->set_hops(hops + 1);
+  forwarded->set_data_centre(place.data_centre.value);
+  forwarded->set_waited_ms(static_cast<std::uint32_t>(waited.count()));
+  if (hops == 0 && std::holds_alternative<open_flow>(packet.body)) {
+    Log("entry", "flow " + std::to_string(packet.flow.value) + " of " +
+                     packet.service.value + " sent to " + place.owner.value +
+                     " in " + place.data_centre.value);
+  }
+  effects_.emplace_back(send_peer{place.owner, std::move(message)});
+}
+
+void node::RefusePacket(const caller_packet& packet,
+                        const caller_address& caller,
+                        const place_refused& refusal) {
+  Log("entry", "flow " + std::to_string(packet.flow.value) + " refused, " +
+                   std::string(ToString(refusal.reason)));
+  effects_.emplace_back(send_answer{
+      caller, caller_answer{.flow = packet.flow,
+                            .request = RequestOf(packet),
+                            .kind = refusal.kind,
+                            .reason = refusal.reason,
+                            .come_back = refusal.kind == answer_kind::kNotRun
+                                             ? kComeBack
+                                             : milliseconds(0),
+                            .token = packet.token}});
+}
+
+void node::Handle(const target_announced& event) {
+  const service_name& service = event.what.service;
+  if (directory_.FindService(service) == nullptr) return;
+  if (OwnerOf(service, settings_.data_centre) != settings_.self) return;
+  RunShard(service, shard_announced{event.connection, event.what});
+}
+
+void node::Handle(const target_answered& event) {
+  // The attempt number tells whose it is; other shards drop it.
+  std::vector<service_name> names;
+  for (const auto& [name, shard] : shards_) names.push_back(name);
+  for (const service_name& name : names) {
+    RunShard(name, shard_answered{event.connection, event.answer});
+  }
+}
+
+void node::Handle(const target_unreachable& event) {
+  std::vector<service_name> names;
+  for (const auto& [name, shard] : shards_) names.push_back(name);
+  for (const service_name& name : names) {
+    RunShard(name, shard_disconnected{event.connection});
+  }
+}
+
+void node::Handle(const peer_spoke& event) {
+  const wire::peer_message& message = event.message;
+  if (message.deployment() != settings_.deployment) return;
+  const instance_name from{message.from()};
+  if (!membership_.members().contains(from)) return;
+  if (message.has_packet()) {
+    HandleForwarded(message.packet());
+  } else if (message.has_agreement()) {
+    RunAgreement(agreement_received{from, message.agreement()});
+  } else if (message.has_heartbeat()) {
+    membership_.Heard(now_, from, message.heartbeat());
+    if (message.heartbeat().applied_index() > directory_.applied().value) {
+      wire::peer_message ask = NewPeerMessage();
+      ask.mutable_agreement()->mutable_fetch()->set_first(
+          directory_.applied().value + 1);
+      effects_.emplace_back(send_peer{from, std::move(ask)});
+    }
+  }
+}
+
+void node::HandleForwarded(const wire::forwarded_packet& message) {
+  auto parsed = FromWire(message.packet());
+  if (std::holds_alternative<wire_error>(parsed)) return;
+  const auto& packet = std::get<caller_packet>(parsed);
+  const caller_address caller{message.caller_address()};
+  const milliseconds waited(message.waited_ms());
+  const data_centre_name place{message.data_centre()};
+  if (place == settings_.data_centre &&
+      OwnerOf(packet.service, place) == settings_.self) {
+    RunShard(packet.service, shard_packet{packet, caller, waited});
+    return;
+  }
+  RoutePacket(packet, caller, message.hops(), waited);
+}
+
+void node::Handle(const ticket_submitted& event) {
+  if (!settings_.replica) {
+    effects_.emplace_back(answer_ticket{event.request, not_a_replica{}});
+    return;
+  }
+  const proposal_id id{++proposals_};
+  waiting_[id] = event.request;
+  proposed_[id] = event.ticket;
+  RunAgreement(propose_entry{id, EncodeTicket(event.ticket)});
+}
+
+void node::Handle(const node_tick&) {
+  RunAgreement(agreement_tick{});
+  if (!last_heartbeat_ || now_ - *last_heartbeat_ >= kHeartbeatInterval) {
+    last_heartbeat_ = now_;
+    SendHeartbeats();
+  }
+  std::vector<service_name> names;
+  for (const auto& [name, shard] : shards_) names.push_back(name);
+  for (const service_name& name : names) {
+    if (OwnerOf(name, settings_.data_centre) == settings_.self &&
+        directory_.FindService(name) != nullptr) {
+      RunShard(name, shard_tick{});
+    } else {
+      Log("placement", "service " + name.value + " handed over");
+      shards_.erase(name);
+    }
+  }
+}
+
+void node::RunAgreement(const agreement_event& event) {
+  for (agreement_effect& effect : agreement_.Reduce(now_, event)) {
+    if (auto* persist = std::get_if<persist_record>(&effect)) {
+      effects_.emplace_back(std::move(*persist));
+    } else if (auto* send = std::get_if<send_agreement>(&effect)) {
+      wire::peer_message message = NewPeerMessage();
+      *message.mutable_agreement() = std::move(send->message);
+      effects_.emplace_back(send_peer{send->to, std::move(message)});
+    } else if (auto* chosen = std::get_if<entry_chosen>(&effect)) {
+      ApplyChosen(*chosen);
+    } else if (auto* done = std::get_if<proposal_chosen>(&effect)) {
+      effects_.emplace_back(
+          answer_ticket{waiting_[done->id], verdicts_.at(done->index)});
+      waiting_.erase(done->id);
+      proposed_.erase(done->id);
+    } else if (auto* refused = std::get_if<proposal_refused>(&effect)) {
+      effects_.emplace_back(answer_ticket{
+          waiting_[refused->id], directory_.Check(proposed_.at(refused->id))});
+      waiting_.erase(refused->id);
+      proposed_.erase(refused->id);
+    } else if (auto* late = std::get_if<proposal_timed_out>(&effect)) {
+      effects_.emplace_back(
+          answer_ticket{waiting_[late->id], ticket_undecided{}});
+      waiting_.erase(late->id);
+      proposed_.erase(late->id);
+    }
+  }
+}
+
+void node::ApplyChosen(const entry_chosen& entry) {
+  const auto content = DecodeEntry(entry.value);
+  CHECK(content) << "entry " << entry.index << " is of no known kind";
+  const auto* ticket = std::get_if<change_ticket>(&*content);
+  if (ticket == nullptr) {
+    directory_.Skip(entry.index);
+    return;
+  }
+  verdicts_[entry.index] = directory_.Apply(entry.index, *ticket);
+  if (verdicts_.size() > kKeptVerdicts) verdicts_.erase(verdicts_.begin());
+  Log("ticket", "ticket " + std::to_string(ticket->number.value) +
+                    " in force as entry " + std::to_string(entry.index.value));
+}
+
+void node::RunShard(const service_name& name, const shard_event& event) {
+  const shard_view view = ShardViewFor(name);
+  for (shard_effect& effect : ShardFor(name).Reduce(now_, view, event)) {
+    if (auto* note = std::get_if<note_decision>(&effect)) {
+      Log("shard " + name.value, std::move(note->text));
+    } else if (auto* answer = std::get_if<send_answer>(&effect)) {
+      effects_.emplace_back(std::move(*answer));
+    } else if (auto* run = std::get_if<send_run>(&effect)) {
+      CHECK(run->order.service == name) << "a request left its service";
+      effects_.emplace_back(std::move(*run));
+    } else if (auto* cancel = std::get_if<send_cancel>(&effect)) {
+      effects_.emplace_back(std::move(*cancel));
+    }
+  }
+}
+
+void node::SendHeartbeats() {
+  wire::peer_message message = NewPeerMessage();
+  auto* heartbeat = message.mutable_heartbeat();
+  heartbeat->set_incarnation(settings_.incarnation);
+  heartbeat->set_applied_index(directory_.applied().value);
+  heartbeat->set_data_centre(settings_.data_centre.value);
+  for (const auto& [name, shard] : shards_) {
+    const shard_load load = shard.Load();
+    auto* row = heartbeat->add_capacity();
+    row->set_service(name.value);
+    row->set_data_centre(settings_.data_centre.value);
+    row->set_ready_slots(load.ready_slots);
+    row->set_busy_slots(load.busy_slots);
+    row->set_free_connections(load.free_connections);
+  }
+  membership_.Heard(now_, settings_.self, *heartbeat);
+  for (const auto& [name, m] : membership_.members()) {
+    if (name != settings_.self) effects_.emplace_back(send_peer{name, message});
+  }
+}
+
+placement_view node::ViewFor(const service_name& service) const {
+  placement_view view;
+  view.service_known = directory_.FindService(service) != nullptr;
+  std::set<data_centre_name> names;
+  for (const auto& [id, m] : membership_.members()) {
+    names.insert(m.data_centre);
+  }
+  for (const data_centre_name& name : names) {
+    data_centre_choice choice{.name = name, .out = directory_.IsOut(name)};
+    if (auto owner = OwnerOf(service, name)) {
+      const member& m = membership_.members().at(*owner);
+      for (const auto& row : m.last.capacity()) {
+        if (row.service() == service.value) {
+          choice.ready_slots = row.ready_slots();
+        }
+      }
+    }
+    view.data_centres.push_back(choice);
+  }
+  view.owner = [this, service](const data_centre_name& name) {
+    return OwnerOf(service, name);
+  };
+  return view;
+}
+
+shard_view node::ShardViewFor(const service_name& service) const {
+  shard_view view{.out = directory_.IsOut(settings_.data_centre)};
+  const service_spec* spec = directory_.FindService(service);
+  if (spec == nullptr) return view;
+  view.flow_idle = spec->flow_idle;
+  for (const class_name& name : spec->classes) {
+    if (const class_spec* c = directory_.FindClass(name)) {
+      view.classes[name] = c->price;
+    }
+  }
+  return view;
+}
+
+std::optional<instance_name> node::OwnerOf(const service_name& service,
+                                           const data_centre_name& name) const {
+  return OwnerAmong(membership_.AliveIn(now_, name), service);
+}
+
+service_shard& node::ShardFor(const service_name& service) {
+  if (auto it = shards_.find(service); it != shards_.end()) return it->second;
+  const owner_epoch epoch{settings_.incarnation + ++shard_epochs_};
+  Log("placement", "taking charge of service " + service.value);
+  return shards_
+      .emplace(service, service_shard({.service = service,
+                                       .data_centre = settings_.data_centre,
+                                       .epoch = epoch,
+                                       .seed = settings_.seed + epoch.value}))
+      .first->second;
+}
+
+wire::peer_message node::NewPeerMessage() const {
+  wire::peer_message message;
+  message.set_deployment(settings_.deployment);
+  message.set_from(settings_.self.value);
+  return message;
+}
+
+void node::Log(std::string part, std::string text) {
+  effects_.emplace_back(log_line{std::move(part), std::move(text)});
+}
+
+}  // namespace lavendertack
--- /dev/null
+++ b/Source/Node/node.h
@@ -0,0 +1,147 @@
+// One instance: the single reducer over everything that can happen to it.
+// It routes packets, keeps the shards it is in charge of, takes part in the
+// agreement on tickets and tells the other instances what it knows.
+#ifndef LAVENDERTACK_NODE_NODE_H_
+#define LAVENDERTACK_NODE_NODE_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Agreement/agreement.h"
+#include "Directory/directory.h"
+#include "Membership/membership.h"
+#include "Traffic/messages.h"
+#include "Traffic/placement.h"
+#include "Traffic/service_shard.h"
+
+namespace lavendertack {
+
+struct node_settings {
+  instance_name self;
+  data_centre_name data_centre;
+  std::string deployment;  // Messages of other deployments are refused.
+  bool replica = false;
+  std::vector<member> members;
+  std::uint64_t incarnation = 0;  // Rises with every start.
+  std::uint64_t seed = 0;
+};
+
+// Number of an operator's request within the process.
+using admin_request = strong_type<struct admin_request_tag, std::uint64_t>;
+
+// Events.
+struct caller_spoke {
+  caller_address from;
+  caller_packet packet;
+};
+struct target_announced {
+  target_connection connection;
+  announcement what;
+};
+struct target_answered {
+  target_connection connection;
+  run_answer answer;
+};
+struct target_unreachable {
+  target_connection connection;
+};
+struct peer_spoke {
+  wire::peer_message message;
+};
+struct ticket_submitted {
+  admin_request request;
+  change_ticket ticket;
+};
+struct node_tick {};
+using node_event =
+    std::variant<caller_spoke, target_announced, target_answered,
+                 target_unreachable, peer_spoke, ticket_submitted, node_tick>;
+
+// Effects, besides those of the parts.
+struct send_peer {
+  instance_name to;
+  wire::peer_message message;
+};
+struct ticket_undecided {};  // No quorum answered; a resend is safe.
+struct not_a_replica {};
+using ticket_outcome =
+    std::variant<ticket_verdict, ticket_undecided, not_a_replica>;
+struct answer_ticket {
+  admin_request request;
+  ticket_outcome outcome;
+};
+// A line for the log; `part` is its fixed prefix.
+struct log_line {
+  std::string part;
+  std::string text;
+};
+using node_effect = std::variant<send_answer, send_run, send_cancel, send_peer,
+                                 persist_record, answer_ticket, log_line>;
+
+class node {
+ public:
+  explicit node(node_settings settings);
+
+  // Takes back one stored record, in the order of writing.
+  void Restore(const wire::stored_record& record);
+
+  std::vector<node_effect> Reduce(instant now, const node_event& event);
+
+  const directory& agreed() const { return directory_; }
+  const membership& members() const { return membership_; }
+  const std::map<service_name, service_shard>& shards() const {
+    return shards_;
+  }
+  const node_settings& settings() const { return settings_; }
+
+ private:
+  void Handle(const caller_spoke& event);
+  void Handle(const target_announced& event);
+  void Handle(const target_answered& event);
+  void Handle(const target_unreachable& event);
+  void Handle(const peer_spoke& event);
+  void Handle(const ticket_submitted& event);
+  void Handle(const node_tick& event);
+
+  void RoutePacket(const caller_packet& packet, const caller_address& caller,
+                   std::uint32_t hops, milliseconds waited);
+  void Forward(const place_at& place, const caller_packet& packet,
+               const caller_address& caller, std::uint32_t hops,
+               milliseconds waited);
+  void RefusePacket(const caller_packet& packet, const caller_address& caller,
+                    const place_refused& refusal);
+  void HandleForwarded(const wire::forwarded_packet& message);
+  void RunAgreement(const agreement_event& event);
+  void ApplyChosen(const entry_chosen& entry);
+  void RunShard(const service_name& name, const shard_event& event);
+  void SendHeartbeats();
+  placement_view ViewFor(const service_name& service) const;
+  shard_view ShardViewFor(const service_name& service) const;
+  std::optional<instance_name> OwnerOf(const service_name& service,
+                                       const data_centre_name& name) const;
+  service_shard& ShardFor(const service_name& service);
+  wire::peer_message NewPeerMessage() const;
+  void Log(std::string part, std::string text);
+
+  node_settings settings_;
+  directory directory_;
+  membership membership_;
+  agreement agreement_;
+  std::map<service_name, service_shard> shards_;
+  std::map<proposal_id, admin_request> waiting_;
+  std::map<proposal_id, change_ticket> proposed_;
+  std::map<log_index, ticket_verdict> verdicts_;
+  std::uint64_t proposals_ = 0;
+  std::uint64_t shard_epochs_ = 0;
+  std::optional<instant> last_heartbeat_;
+  // For the event that is being reduced.
+  instant now_;
+  std::vector<node_effect> effects_;
+};
+
+}  // namespace lavendertack
+
+#endif  // LAVENDERTACK_NODE_NODE_H_
--- /dev/null
+++ b/Source/Runtime/instance_loop.cc
@@ -0,0 +1,293 @@
+#include "Runtime/instance_loop.h"
+
+#include <glog/logging.h>
+#include <sys/eventfd.h>
+#include <sys/random.h>
+#include <unistd.h>
+
+#include <ctime>
+#include <filesystem>
+#include <map>
+#include <zmq.hpp>
+
+#include "Node/node.h"
+#include "Runtime/admin_api.h"
+#include "Runtime/admin_queue.h"
+#include "Runtime/admin_server.h"
+#include "Runtime/caller_socket.h"
+#include "Runtime/peer_links.h"
+#include "Runtime/target_links.h"
+#include "Storage/record_log.h"
+#include "Wire/codec.h"
+
+namespace lavendertack {
+namespace {
+
+// Time between two ticks of the reducer.
+constexpr milliseconds kTickInterval{10};
+// Datagrams read before other sockets get their turn.
+constexpr int kDatagramsPerTurn = 256;
+
+// CLOCK_BOOTTIME goes on while the process or the machine is suspended.
+instant Now() {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return instant(seconds(time.tv_sec) + microseconds(time.tv_nsec / 1000));
+}
+
+std::uint64_t RandomNumber() {
+  std::uint64_t number = 0;
+  PCHECK(getrandom(&number, sizeof(number), 0) == sizeof(number));
+  return number;
+}
+
+node_settings NodeSettings(const settings& from) {
+  node_settings result{.self = from.instance,
+                       .data_centre = {},
+                       .deployment = from.deployment,
+                       .replica = false,
+                       .members = {},
+                       .incarnation = 0,
+                       .seed = RandomNumber()};
+  for (const instance_settings& instance : from.instances) {
+    result.members.push_back({.name = instance.name,
+                              .data_centre = instance.data_centre,
+                              .replica = instance.replica,
+                              .last_heard = std::nullopt,
+                              .last = {}});
+    if (instance.name == from.instance) {
+      result.data_centre = instance.data_centre;
+      result.replica = instance.replica;
+    }
+  }
+  result.incarnation = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<microseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+  return result;
+}
+
+class instance_loop {
+ public:
+  explicit instance_loop(const settings& settings)
+      : settings_(settings),
+        node_(NodeSettings(settings)),
+        wake_file_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
+        admin_queue_([this] { eventfd_write(wake_file_, 1); }),
+        peers_(&context_, settings),
+        targets_(&context_, settings.target_address) {}
+
+  ~instance_loop() { close(wake_file_); }
+
+  std::variant<std::monostate, instance_error> Start() {
+    auto opened = callers_.Open(settings_.caller_address);
+    if (auto* error = std::get_if<socket_error>(&opened)) {
+      return instance_error{error->address + ": " + error->reason};
+    }
+    if (!settings_.data_folder.empty()) {
+      if (auto error = OpenLog()) return *error;
+    }
+    admin_ =
+        std::make_unique<admin_server>(settings_.admin_address, &admin_queue_);
+    return std::monostate{};
+  }
+
+  void Run(const std::atomic<int>& stop) {
+    LOG(INFO) << "instance: " << settings_.instance << " serves";
+    instant next_tick = Now();
+    while (stop == 0) {
+      Poll(next_tick);
+      callers_.Receive(kDatagramsPerTurn, [this](const caller_address& from,
+                                                 std::string_view bytes) {
+        HandleDatagram(from, bytes);
+      });
+      targets_.Receive(
+          [this](const target_connection& from, const std::string& bytes) {
+            HandleTargetMessage(from, bytes);
+          });
+      peers_.Receive([this](wire::peer_message message) {
+        Dispatch(peer_spoke{std::move(message)});
+      });
+      HandleAdmin();
+      if (Now() >= next_tick) {
+        Dispatch(node_tick{});
+        next_tick = Now() + kTickInterval;
+      }
+    }
+    LOG(INFO) << "instance: " << settings_.instance << " stops";
+  }
+
+ private:
+  std::optional<instance_error> OpenLog() {
+    std::error_code failed;
+    std::filesystem::create_directories(settings_.data_folder, failed);
+    if (failed) {
+      return instance_error{settings_.data_folder + ": " + failed.message()};
+    }
+    auto opened = log_.Open(settings_.data_folder + "/agreement.log");
+    if (auto* error = std::get_if<storage_error>(&opened)) {
+      return instance_error{error->path + ": " + error->reason};
+    }
+    const auto& found = std::get<opened_log>(opened);
+    if (found.torn_bytes > 0) {
+      LOG(WARNING) << "storage: cut " << found.torn_bytes << " torn bytes";
+    }
+    for (const std::string& bytes : found.records) {
+      wire::stored_record record;
+      if (!record.ParseFromString(bytes)) {
+        return instance_error{"agreement.log: a record can't be read"};
+      }
+      node_.Restore(record);
+    }
+    LOG(INFO) << "storage: " << found.records.size() << " records, entry "
+              << node_.agreed().applied();
+    return std::nullopt;
+  }
+
+  void Poll(instant next_tick) {
+    const auto wait = std::max(
+        milliseconds(0), std::chrono::ceil<milliseconds>(next_tick - Now()));
+    std::array<zmq::pollitem_t, 4> items{
+        {{peers_.socket(), 0, ZMQ_POLLIN, 0},
+         {targets_.socket(), 0, ZMQ_POLLIN, 0},
+         {nullptr, callers_.file(), ZMQ_POLLIN, 0},
+         {nullptr, wake_file_, ZMQ_POLLIN, 0}}};
+    try {
+      zmq::poll(items.data(), items.size(), wait);
+    } catch (const zmq::error_t& error) {
+      if (error.num() != EINTR) throw;
+    }
+  }
+
+  void HandleDatagram(const caller_address& from, std::string_view bytes) {
+    auto parsed = ParseCallerPacket(bytes);
+    if (const auto* error = std::get_if<wire_error>(&parsed)) {
+      ++bad_datagrams_;
+      LOG_EVERY_N(WARNING, 1000)
+          << "entry: packet dropped, " << error->field << " " << error->reason;
+      return;
+    }
+    Dispatch(caller_spoke{from, std::get<caller_packet>(std::move(parsed))});
+  }
+
+  void HandleTargetMessage(const target_connection& from,
+                           const std::string& bytes) {
+    auto parsed = ParseTargetMessage(bytes);
+    if (const auto* error = std::get_if<wire_error>(&parsed)) {
+      LOG_EVERY_N(WARNING, 1000) << "target: message dropped, " << error->field
+                                 << " " << error->reason;
+      return;
+    }
+    auto& body = std::get<target_body>(parsed);
+    if (auto* what = std::get_if<announcement>(&body)) {
+      Dispatch(target_announced{from, std::move(*what)});
+    } else {
+      Dispatch(target_answered{from, std::get<run_answer>(std::move(body))});
+    }
+  }
+
+  void HandleAdmin() {
+    eventfd_t ignored = 0;
+    eventfd_read(wake_file_, &ignored);
+    for (admin_queue::item& item : admin_queue_.TakeAll()) {
+      const http_request& request = item.request;
+      if (request.method == "GET" && request.path == "/v1/status") {
+        item.answer(DescribeStatus(node_, Now()));
+      } else if (request.method == "GET" && request.path == "/v1/targets") {
+        item.answer(DescribeTargets(node_));
+      } else if (request.method == "GET" && request.path == "/v1/tickets") {
+        item.answer(DescribeTickets(node_));
+      } else if (request.method == "POST" && request.path == "/v1/tickets") {
+        SubmitTicket(std::move(item));
+      } else {
+        item.answer({404, "{\"error\":\"no such path\"}\n"});
+      }
+    }
+  }
+
+  void SubmitTicket(admin_queue::item item) {
+    auto parsed = ParseTicket(item.request.body);
+    if (auto* errors = std::get_if<std::vector<ticket_error>>(&parsed)) {
+      item.answer(DescribeTicketErrors(*errors));
+      return;
+    }
+    const admin_request id{++admin_requests_};
+    waiting_[id] = std::move(item.answer);
+    Dispatch(ticket_submitted{id, std::get<change_ticket>(parsed)});
+  }
+
+  void Dispatch(const node_event& event) {
+    for (node_effect& effect : node_.Reduce(Now(), event)) {
+      std::visit([this](auto& e) { Carry(e); }, effect);
+    }
+    std::vector<target_connection> gone = std::exchange(unreachable_, {});
+    for (target_connection& connection : gone) {
+      Dispatch(target_unreachable{std::move(connection)});
+    }
+  }
+
+  void Carry(const send_answer& effect) {
+    for (const std::string& datagram : EncodeAnswer(effect.answer)) {
+      callers_.Send(effect.to, datagram);
+    }
+  }
+  void Carry(const send_run& effect) {
+    if (!targets_.Send(effect.to, EncodeRunOrder(effect.order))) {
+      unreachable_.push_back(effect.to);
+    }
+  }
+  void Carry(const send_cancel& effect) {
+    targets_.Send(effect.to, EncodeCancel(effect.attempt));
+  }
+  void Carry(const send_peer& effect) {
+    peers_.Send(effect.to, effect.message);
+  }
+  void Carry(const persist_record& effect) {
+    if (settings_.data_folder.empty()) return;
+    auto written = log_.Append(effect.record.SerializeAsString());
+    if (const auto* error = std::get_if<storage_error>(&written)) {
+      LOG(FATAL) << "storage: " << error->path << ": " << error->reason;
+    }
+  }
+  void Carry(const answer_ticket& effect) {
+    auto it = waiting_.find(effect.request);
+    if (it == waiting_.end()) return;
+    it->second(DescribeOutcome(effect.outcome));
+    waiting_.erase(it);
+  }
+  void Carry(const log_line& effect) {
+    LOG(INFO) << effect.part << ": " << effect.text;
+  }
+
+  const settings& settings_;
+  zmq::context_t context_;
+  node node_;
+  int wake_file_;
+  admin_queue admin_queue_;
+  peer_links peers_;
+  target_links targets_;
+  caller_socket callers_;
+  record_log log_;
+  std::unique_ptr<admin_server> admin_;
+  std::map<admin_request, admin_queue::answer_function> waiting_;
+  std::uint64_t admin_requests_ = 0;
+  std::uint64_t bad_datagrams_ = 0;
+  std::vector<target_connection> unreachable_;
+};
+
+}  // namespace
+
+std::variant<std::monostate, instance_error> RunInstance(
+    const settings& settings, const std::atomic<int>& stop) {
+  try {
+    instance_loop loop(settings);
+    auto started = loop.Start();
+    if (std::holds_alternative<instance_error>(started)) return started;
+    loop.Run(stop);
+  } catch (const std::exception& error) {
+    return instance_error{error.what()};
+  }
+  return std::monostate{};
+}
+
+}  // namespace lavendertack
--- /dev/null
+++ b/Source/Runtime/peer_links.cc
@@ -0,0 +1,61 @@
+#include "Runtime/peer_links.h"
+
+namespace lavendertack {
+namespace {
+
+// Messages waiting in a socket; beyond that they are dropped.
+constexpr int kSocketQueue = 4096;
+// Largest message between instances, in bytes.
+constexpr std::int64_t kMaxMessageBytes = 4 << 20;
+
+}  // namespace
+
+peer_links::peer_links(zmq::context_t* context, const settings& settings)
+    : router_(*context, zmq::socket_type::router) {
+  router_.set(zmq::sockopt::linger, 0);
+  router_.set(zmq::sockopt::rcvhwm, kSocketQueue);
+  router_.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
+  for (const instance_settings& instance : settings.instances) {
+    const std::string address = "tcp://" + ToString(instance.peer_address);
+    if (instance.name == settings.instance) {
+      router_.bind(address);
+      continue;
+    }
+    zmq::socket_t dealer(*context, zmq::socket_type::dealer);
+    dealer.set(zmq::sockopt::linger, 0);
+    dealer.set(zmq::sockopt::immediate, true);
+    dealer.set(zmq::sockopt::sndhwm, kSocketQueue);
+    dealer.set(zmq::sockopt::reconnect_ivl, 50);
+    dealer.set(zmq::sockopt::reconnect_ivl_max, 500);
+    dealer.connect(address);
+    dealers_.emplace(instance.name, std::move(dealer));
+  }
+}
+
+void peer_links::Send(const instance_name& to,
+                      const wire::peer_message& message) {
+  auto it = dealers_.find(to);
+  if (it == dealers_.end()) return;
+  const std::string bytes = message.SerializeAsString();
+  if (it->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
+    sent_bytes_ += bytes.size();
+  }
+}
+
+void peer_links::Receive(
+    const std::function<void(wire::peer_message)>& handle) {
+  zmq::message_t identity;
+  while (router_.recv(identity, zmq::recv_flags::dontwait)) {
+    zmq::message_t body;
+    if (!identity.more() || !router_.recv(body)) continue;
+    while (body.more() && router_.recv(body)) {
+    }
+    received_bytes_ += body.size();
+    wire::peer_message message;
+    if (message.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+      handle(std::move(message));
+    }
+  }
+}
+
+}  // namespace lavendertack
--- /dev/null
+++ b/Source/Runtime/peer_links.h
@@ -0,0 +1,36 @@
+// ZeroMQ sockets between the instances: one ROUTER that all others connect
+// to, one DEALER towards each other instance. Messages are dropped, not
+// queued, while a peer can't be reached.
+#ifndef LAVENDERTACK_RUNTIME_PEER_LINKS_H_
+#define LAVENDERTACK_RUNTIME_PEER_LINKS_H_
+
+#include <functional>
+#include <map>
+#include <zmq.hpp>
+
+#include "Config/settings.h"
+#include "Wire/lavendertack.pb.h"
+
+namespace lavendertack {
+
+class peer_links {
+ public:
+  peer_links(zmq::context_t* context, const settings& settings);
+
+  void Send(const instance_name& to, const wire::peer_message& message);
+  // Reads every message that is there.
+  void Receive(const std::function<void(wire::peer_message)>& handle);
+  zmq::socket_t& socket() { return router_; }
+  std::uint64_t sent_bytes() const { return sent_bytes_; }
+  std::uint64_t received_bytes() const { return received_bytes_; }
+
+ private:
+  zmq::socket_t router_;
+  std::map<instance_name, zmq::socket_t> dealers_;
+  std::uint64_t sent_bytes_ = 0;
+  std::uint64_t received_bytes_ = 0;
+};
+
+}  // namespace lavendertack
+
+#endif  // LAVENDERTACK_RUNTIME_PEER_LINKS_H_
--- /dev/null
+++ b/Source/Traffic/messages.cc
@@ -0,0 +1,73 @@
+#include "Traffic/messages.h"
+
+namespace lavendertack {
+
+std::string_view ToString(answer_kind kind) {
+  switch (kind) {
+    case answer_kind::kOpened:
+      return "opened";
+    case answer_kind::kServed:
+      return "served";
+    case answer_kind::kNotRun:
+      return "not run";
+    case answer_kind::kOutcomeUnknown:
+      return "outcome unknown";
+    case answer_kind::kFlowLost:
+      return "flow lost";
+    case answer_kind::kAlive:
+      return "alive";
+  }
+  return "invalid";
+}
+
+std::string_view ToString(refusal_reason reason) {
+  switch (reason) {
+    case refusal_reason::kNone:
+      return "none";
+    case refusal_reason::kOverloaded:
+      return "overloaded";
+    case refusal_reason::kNoTarget:
+      return "no target";
+    case refusal_reason::kUnknownService:
+      return "unknown service";
+    case refusal_reason::kUnknownClass:
+      return "unknown class";
+    case refusal_reason::kDataCentreOut:
+      return "data centre out";
+    case refusal_reason::kDeadlinePassed:
+      return "deadline passed";
+    case refusal_reason::kTargetShed:
+      return "target shed";
+    case refusal_reason::kTargetLost:
+      return "target lost";
+    case refusal_reason::kOwnerUnreachable:
+      return "owner unreachable";
+    case refusal_reason::kOwnerChanged:
+      return "owner changed";
+    case refusal_reason::kCancelled:
+      return "cancelled";
+    case refusal_reason::kTooLarge:
+      return "too large";
+    case refusal_reason::kTooOld:
+      return "too old";
+    case refusal_reason::kDraining:
+      return "draining";
+  }
+  return "invalid";
+}
+
+std::string_view ToString(target_state state) {
+  switch (state) {
+    case target_state::kCold:
+      return "cold";
+    case target_state::kReady:
+      return "ready";
+    case target_state::kDraining:
+      return "draining";
+    case target_state::kLeaving:
+      return "leaving";
+  }
+  return "invalid";
+}
+
+}  // namespace lavendertack
--- /dev/null
+++ b/Source/Traffic/placement.cc
@@ -0,0 +1,78 @@
+#include "Traffic/placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "Common/hash.h"
+
+namespace lavendertack {
+namespace {
+
+// Weighted rendezvous: among candidates with weights w, each wins for a share
+// of keys in proportion to w (Wang & Ravishankar's logarithmic method).
+double WeightedScore(std::uint64_t key, const std::string& name,
+                     std::uint32_t weight) {
+  constexpr double kTwoTo64 = 18446744073709551616.0;
+  const double uniform =
+      (static_cast<double>(RendezvousScore(key, name)) + 1.0) / kTwoTo64;
+  return -static_cast<double>(weight) / std::log(std::min(uniform, 0.9999999));
+}
+
+}  // namespace
+
+placement PlaceNewFlow(const placement_view& view, const service_name& service,
+                       flow_id flow) {
+  if (!view.service_known) {
+    return place_refused{answer_kind::kNotRun, refusal_reason::kUnknownService};
+  }
+  const std::uint64_t key = StableHash(service.value, flow.value);
+  std::optional<place_at> best;
+  double best_score = 0;
+  for (const data_centre_choice& choice : view.data_centres) {
+    if (choice.out || choice.ready_slots == 0) continue;
+    auto owner = view.owner(choice.name);
+    if (!owner) continue;
+    const double score =
+        WeightedScore(key, choice.name.value, choice.ready_slots);
+    if (best && score <= best_score) continue;
+    best = place_at{choice.name, *owner};
+    best_score = score;
+  }
+  if (best) return *best;
+  return place_refused{answer_kind::kNotRun, refusal_reason::kNoTarget};
+}
+
+placement PlaceEstablished(const placement_view& view, const flow_token& token,
+                           bool may_have_run) {
+  for (const data_centre_choice& choice : view.data_centres) {
+    if (choice.name != token.data_centre) continue;
+    if (choice.out) {
+      return place_refused{
+          may_have_run ? answer_kind::kOutcomeUnknown : answer_kind::kFlowLost,
+          refusal_reason::kDataCentreOut};
+    }
+    if (auto owner = view.owner(choice.name)) {
+      return place_at{choice.name, *owner};
+    }
+    return place_refused{
+        may_have_run ? answer_kind::kOutcomeUnknown : answer_kind::kNotRun,
+        refusal_reason::kOwnerUnreachable};
+  }
+  return place_refused{answer_kind::kFlowLost, refusal_reason::kDataCentreOut};
+}
+
+std::optional<instance_name> OwnerAmong(
+    const std::vector<instance_name>& instances, const service_name& service) {
+  const std::uint64_t key = StableHash(service.value);
+  std::optional<instance_name> owner;
+  std::uint64_t best = 0;
+  for (const instance_name& name : instances) {
+    const std::uint64_t score = RendezvousScore(key, name.value);
+    if (owner && score <= best) continue;
+    owner = name;
+    best = score;
+  }
+  return owner;
+}
+
+}  // namespace lavendertack
--- /dev/null
+++ b/Source/UnitTests/Directory/directory_test.cc
@@ -0,0 +1,70 @@
+#include "Directory/directory.h"
+
+#include <catch2/catch.hpp>
+
+namespace lavendertack {
+namespace {
+
+change_ticket Parse(const std::string& json) {
+  auto parsed = ParseTicket(json);
+  REQUIRE(std::holds_alternative<change_ticket>(parsed));
+  return std::get<change_ticket>(parsed);
+}
+
+TEST_CASE("tickets change the directory") {
+  directory agreed;
+  const change_ticket first = Parse(R"({"number": 5,
+      "classes": [{"name": "hold", "price": 9}],
+      "services": [{"name": "catalogue", "classes": ["hold"],
+                    "flow_idle_s": 60}]})");
+
+  SECTION("an accepted ticket is in force") {
+    const auto verdict = agreed.Apply({1}, first);
+    REQUIRE(std::holds_alternative<ticket_accepted>(verdict));
+    REQUIRE(agreed.FindService({"catalogue"}) != nullptr);
+
+    SECTION("and its resend gets the first answer") {
+      const auto again = agreed.Apply({2}, first);
+      REQUIRE(std::get<ticket_accepted>(again).index == log_index{1});
+    }
+
+    SECTION("and another ticket with its number conflicts") {
+      change_ticket other = first;
+      other.classes[0].price = {1};
+      const auto second = agreed.Apply({2}, other);
+      REQUIRE(std::get<ticket_conflict>(second).index == log_index{1});
+      REQUIRE(agreed.FindClass({"hold"})->price == class_price{9});
+    }
+
+    SECTION("and a lower number is outdated") {
+      change_ticket older = first;
+      older.number = {4};
+      const auto second = agreed.Apply({2}, older);
+      REQUIRE(std::get<ticket_outdated>(second).newest == ticket_number{5});
+    }
+  }
+
+  SECTION("a service with an unknown class is refused") {
+    const change_ticket unknown = Parse(R"({"number": 6,
+        "services": [{"name": "guide", "classes": ["browse"],
+                      "flow_idle_s": 60}]})");
+    const auto verdict = agreed.Apply({1}, unknown);
+    REQUIRE(std::get<ticket_invalid>(verdict).error.field ==
+            "services.guide.classes");
+    REQUIRE(agreed.FindService({"guide"}) == nullptr);
+  }
+}
+
+TEST_CASE("a ticket that is no whole state is refused with every fault") {
+  auto parsed = ParseTicket(R"({"number": 0, "colour": 1,
+      "services": [{"name": "catalogue"}]})");
+  const auto& errors = std::get<std::vector<ticket_error>>(parsed);
+  std::vector<std::string> fields;
+  fields.reserve(errors.size());
+  for (const ticket_error& error : errors) fields.push_back(error.field);
+  CHECK(fields == std::vector<std::string>{"number", "services[0].flow_idle_s",
+                                           "services[0].classes", "colour"});
+}
+
+}  // namespace
+}  // namespace lavendertack
--- /dev/null
+++ b/Source/UnitTests/test_main.cc
@@ -0,0 +1,23 @@
+#define CATCH_CONFIG_RUNNER
+#include <glog/logging.h>
+
+#include <catch2/catch.hpp>
+
+#include "UnitTests/Support/random_run.h"
+
+int main(int argc, char** argv) {
+  google::InitGoogleLogging(argv[0]);
+  FLAGS_logtostderr = true;
+  FLAGS_minloglevel = google::GLOG_ERROR;
+  auto& options = lavendertack::testing::RandomRunOptions();
+  Catch::Session session;
+  session.cli(session.cli() |
+              Catch::clara::Opt(options.first_seed, "number")["--seed"](
+                  "first seed of the random runs") |
+              Catch::clara::Opt(options.runs,
+                                "number")["--runs"]("seeds of a random run"));
+  if (const int error = session.applyCommandLine(argc, argv); error != 0) {
+    return error;
+  }
+  return session.run();
+}
--- /dev/null
+++ b/Tools/StandIn/target.cc
@@ -0,0 +1,189 @@
+#include "target.h"
+
+#include <gflags/gflags.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <random>
+#include <sstream>
+#include <vector>
+#include <zmq.hpp>
+
+#include "Wire/lavendertack.pb.h"
+
+DEFINE_string(name, "", "Name of the target.");
+DEFINE_string(service, "", "Service of the target.");
+DEFINE_string(connect, "", "Target addresses of the instances, by comma.");
+DEFINE_int32(slots, 2, "Requests run at a time.");
+DEFINE_int32(connections, 2000, "Open flows at most.");
+DEFINE_int32(service_ms, 20, "Mean time of a request, in ms.");
+DEFINE_int32(body_bytes, 64, "Bytes of an answer.");
+DEFINE_int32(cold_ms, 0, "Time from start until ready, in ms.");
+DEFINE_string(journal, "", "File that takes a line for each request.");
+
+namespace standin {
+namespace {
+
+namespace wire = lavendertack::wire;
+using steady = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kAnnounceInterval{200};
+constexpr std::size_t kPartBytes = 16 << 10;
+
+std::atomic<int> g_drain{0};
+std::atomic<int> g_stop{0};
+
+std::int64_t WallMs() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+struct job {
+  std::size_t link;
+  wire::run_order order;
+};
+
+class target {
+ public:
+  target() : context_(1), random_(std::random_device{}()) {
+    std::stringstream list(FLAGS_connect);
+    for (std::string address; std::getline(list, address, ',');) {
+      zmq::socket_t socket(context_, zmq::socket_type::dealer);
+      socket.set(zmq::sockopt::linger, 200);
+      socket.connect("tcp://" + address);
+      links_.push_back(std::move(socket));
+    }
+    if (!FLAGS_journal.empty()) journal_.open(FLAGS_journal, std::ios::app);
+    boot_ = (static_cast<std::uint64_t>(random_()) << 32) | random_() | 1;
+    started_ = steady::now();
+  }
+
+  int Run() {
+    auto next_announce = steady::now();
+    while (g_stop == 0 || !jobs_.empty()) {
+      std::vector<zmq::pollitem_t> items;
+      for (auto& link : links_) items.push_back({link, 0, ZMQ_POLLIN, 0});
+      try {
+        zmq::poll(items, milliseconds(2));
+      } catch (const zmq::error_t&) {
+      }
+      for (std::size_t i = 0; i < links_.size(); ++i) Receive(i);
+      FinishJobs();
+      if (steady::now() >= next_announce) {
+        next_announce = steady::now() + kAnnounceInterval;
+        Announce();
+      }
+    }
+    Announce();
+    Journal("end max_busy=" + std::to_string(max_busy_));
+    return 0;
+  }
+
+ private:
+  wire::target_state State() const {
+    if (g_stop != 0) return wire::LEAVING;
+    if (g_drain != 0) return wire::TARGET_DRAINING;
+    const bool warm = steady::now() - started_ >= milliseconds(FLAGS_cold_ms);
+    return warm ? wire::READY : wire::COLD;
+  }
+
+  void Announce() {
+    wire::target_message message;
+    auto* what = message.mutable_announce();
+    what->set_target(FLAGS_name);
+    what->set_service(FLAGS_service);
+    what->set_boot(boot_);
+    what->set_state(State());
+    what->set_slots(static_cast<std::uint32_t>(FLAGS_slots));
+    what->set_connections(static_cast<std::uint32_t>(FLAGS_connections));
+    what->set_reported_busy(static_cast<std::uint32_t>(jobs_.size()));
+    for (std::size_t i = 0; i < links_.size(); ++i) Send(i, message);
+  }
+
+  void Send(std::size_t link, const wire::target_message& message) {
+    const std::string bytes = message.SerializeAsString();
+    links_[link].send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+  }
+
+  void Receive(std::size_t link) {
+    zmq::message_t bytes;
+    while (links_[link].recv(bytes, zmq::recv_flags::dontwait)) {
+      wire::instance_message message;
+      if (!message.ParseFromArray(bytes.data(),
+                                  static_cast<int>(bytes.size()))) {
+        continue;
+      }
+      if (message.has_run()) StartJob(link, message.run());
+    }
+  }
+
+  void StartJob(std::size_t link, const wire::run_order& order) {
+    Journal("run " + order.service() + " " + std::to_string(order.flow()) +
+            " " + std::to_string(order.request()) + " " +
+            (order.repeatable() ? "repeatable" : "once"));
+    std::exponential_distribution<double> time(1.0 / FLAGS_service_ms);
+    jobs_.emplace(
+        steady::now() +
+            std::chrono::microseconds(static_cast<std::int64_t>(
+                1000 * std::min(time(random_), 10.0 * FLAGS_service_ms))),
+        job{link, order});
+    max_busy_ = std::max(max_busy_, jobs_.size());
+  }
+
+  void FinishJobs() {
+    while (!jobs_.empty() && jobs_.begin()->first <= steady::now()) {
+      Answer(jobs_.begin()->second);
+      jobs_.erase(jobs_.begin());
+    }
+  }
+
+  void Answer(const job& done) {
+    std::string body = FLAGS_service + ":" + std::to_string(done.order.flow()) +
+                       ":" + std::to_string(done.order.request()) + ":" +
+                       FLAGS_name + ":";
+    if (body.size() < static_cast<std::size_t>(FLAGS_body_bytes)) {
+      body.resize(static_cast<std::size_t>(FLAGS_body_bytes), 'x');
+    }
+    const std::size_t parts = (body.size() + kPartBytes - 1) / kPartBytes;
+    for (std::size_t part = 0; part < parts; ++part) {
+      wire::target_message message;
+      auto* answer = message.mutable_answer();
+      answer->set_attempt(done.order.attempt());
+      answer->set_status(wire::DONE);
+      answer->set_part(static_cast<std::uint32_t>(part));
+      answer->set_parts(static_cast<std::uint32_t>(parts));
+      answer->set_body(body.substr(part * kPartBytes, kPartBytes));
+      Send(done.link, message);
+    }
+  }
+
+  void Journal(const std::string& line) {
+    if (journal_) journal_ << WallMs() << " " << line << std::endl;
+  }
+
+  zmq::context_t context_;
+  std::mt19937 random_;
+  std::vector<zmq::socket_t> links_;
+  std::multimap<steady::time_point, job> jobs_;
+  std::ofstream journal_;
+  std::uint64_t boot_ = 0;
+  steady::time_point started_;
+  std::size_t max_busy_ = 0;
+};
+
+}  // namespace
+
+int RunTarget() {
+  std::signal(SIGUSR1, [](int) { g_drain = 1; });
+  std::signal(SIGTERM, [](int) { g_stop = 1; });
+  return target().Run();
+}
+
+}  // namespace standin
