--- /dev/null
+++ b/Source/Distribution/catch_up.cc
@@ -0,0 +1,52 @@
+#include "Distribution/catch_up.h"
+
+#include <algorithm>
+
+namespace lavendertack {
+namespace {
+
+// Time after which a replica that hasn't answered is asked again.
+constexpr milliseconds kAskInterval{200};
+
+}  // namespace
+
+catch_up::catch_up(catch_up_settings settings)
+    : settings_(std::move(settings)) {
+  if (settings_.replicas.size() == 1) RestoredOwnState();
+}
+
+void catch_up::RestoredOwnState() {
+  if (settings_.replicas.contains(settings_.self)) {
+    answered_.insert(settings_.self);
+  }
+}
+
+std::vector<instance_name> catch_up::Due(instant now) {
+  std::vector<instance_name> due;
+  if (HasMajority()) return due;
+  if (last_asked_ && now - *last_asked_ < kAskInterval) return due;
+  last_asked_ = now;
+  std::set_difference(settings_.replicas.begin(), settings_.replicas.end(),
+                      answered_.begin(), answered_.end(),
+                      std::back_inserter(due));
+  std::erase(due, settings_.self);
+  return due;
+}
+
+void catch_up::Reported(const instance_name& from, std::uint64_t nonce,
+                        log_index applied) {
+  if (nonce != settings_.nonce || !settings_.replicas.contains(from)) return;
+  if (HasMajority()) return;
+  answered_.insert(from);
+  newest_ = std::max(newest_, applied);
+}
+
+bool catch_up::IsCurrent(log_index applied) const {
+  return HasMajority() && applied >= newest_;
+}
+
+bool catch_up::HasMajority() const {
+  return answered_.size() > settings_.replicas.size() / 2;
+}
+
+}  // namespace lavendertack
--- a/Source/Membership/membership.cc
+++ b/Source/Membership/membership.cc
@@ -14,6 +14,7 @@
                        const wire::heartbeat& heartbeat) {
   auto it = members_.find(from);
   if (it == members_.end()) return;
+  if (!started_) started_ = now;
   it->second.last_heard = now;
   it->second.last = heartbeat;
 }
@@ -26,6 +27,12 @@
          now - *it->second.last_heard < kSuspectAfter;
 }
 
+bool membership::IsSilent(instant now, const instance_name& name) const {
+  auto it = members_.find(name);
+  if (it == members_.end() || name == self_) return false;
+  return !it->second.last_heard || now - *it->second.last_heard >= kSilentAfter;
+}
+
 std::vector<instance_name> membership::AliveIn(
     instant now, const data_centre_name& name) const {
   std::vector<instance_name> alive;
--- a/Source/Membership/membership.h
+++ b/Source/Membership/membership.h
@@ -18,6 +18,8 @@
 inline constexpr milliseconds kHeartbeatInterval{200};
 // An instance that is silent for so long is suspected.
 inline constexpr milliseconds kSuspectAfter{1000};
+// Silence after which it is no more taken for a restart.
+inline constexpr milliseconds kSilentAfter{3000};
 
 struct member {
   instance_name name;
@@ -34,6 +36,9 @@
   void Heard(instant now, const instance_name& from,
              const wire::heartbeat& heartbeat);
   bool IsAlive(instant now, const instance_name& name) const;
+  // Not heard for longer than a restart takes, nor since this instance began
+  // to listen.
+  bool IsSilent(instant now, const instance_name& name) const;
   // Names of the data centre's instances that are alive, in order.
   std::vector<instance_name> AliveIn(instant now,
                                      const data_centre_name& name) const;
@@ -43,6 +48,7 @@
  private:
   instance_name self_;
   std::map<instance_name, member> members_;
+  std::optional<instant> started_;  // The first time that anyone was heard.
 };
 
 }  // namespace lavendertack
--- a/Source/Node/node.cc
+++ b/Source/Node/node.cc
@@ -29,29 +29,76 @@
   return result;
 }
 
+std::set<instance_name> Replicas(const node_settings& settings) {
+  std::set<instance_name> names;
+  for (const member& m : settings.members) {
+    if (m.replica) names.insert(m.name);
+  }
+  return names;
+}
+
+ownership_settings OwnershipSettings(const node_settings& settings) {
+  return {.self = settings.self,
+          .data_centre = settings.data_centre,
+          .incarnation = settings.incarnation,
+          .replicas = Replicas(settings)};
+}
+
+keeper_settings KeeperSettings(const node_settings& settings) {
+  keeper_settings result{.self = settings.self,
+                         .incarnation = settings.incarnation,
+                         .replicas = Replicas(settings),
+                         .instances = {},
+                         .seed = settings.seed};
+  for (const member& m : settings.members) {
+    result.instances[m.data_centre].insert(m.name);
+  }
+  return result;
+}
+
 request_number RequestOf(const caller_packet& packet) {
   const auto* request = std::get_if<run_request>(&packet.body);
   return request == nullptr ? request_number{} : request->number;
 }
 
+// The owner by the roster hasn't taken charge yet, or its lease ran out. A
+// request that the previous owner may have sent isn't called "not run".
+place_refused NotInCharge(const caller_packet& packet) {
+  const auto* request = std::get_if<run_request>(&packet.body);
+  const bool may_have_run =
+      packet.token && request != nullptr && !request->repeatable;
+  return {may_have_run ? answer_kind::kOutcomeUnknown : answer_kind::kNotRun,
+          refusal_reason::kOwnerUnreachable};
+}
+
 }  // namespace
 
 node::node(node_settings settings)
     : settings_(std::move(settings)),
       membership_(settings_.self, settings_.members),
+      ownership_(OwnershipSettings(settings_)),
+      keeper_(KeeperSettings(settings_)),
+      catch_up_({.self = settings_.self,
+                 .replicas = Replicas(settings_),
+                 .nonce = settings_.incarnation}),
       agreement_(AgreementSettings(settings_),
-                 [this](const std::string& value) {
-                   auto ticket = DecodeTicket(value);
-                   if (!std::holds_alternative<change_ticket>(ticket)) {
-                     return false;
-                   }
-                   const auto verdict =
-                       directory_.Check(std::get<change_ticket>(ticket));
-                   return std::holds_alternative<ticket_accepted>(verdict);
-                 }) {}
+                 [this](const std::string& value) { return Admits(value); }) {}
+
+bool node::Admits(const std::string& value) const {
+  const auto entry = DecodeEntry(value);
+  if (!entry) return false;
+  if (const auto* ticket = std::get_if<change_ticket>(&*entry)) {
+    return std::holds_alternative<ticket_accepted>(directory_.Check(*ticket));
+  }
+  if (const auto* roster = std::get_if<roster_change>(&*entry)) {
+    return rosters_.Admits(*roster);
+  }
+  return true;
+}
 
 void node::Restore(const wire::stored_record& record) {
   agreement_.Restore(record);
+  catch_up_.RestoredOwnState();
   if (!record.has_chosen()) return;
   for (const std::string& value : record.chosen().values()) {
     ApplyChosen({log_index{directory_.applied().value + 1}, value});
@@ -62,7 +109,9 @@
 std::vector<node_effect> node::Reduce(instant now, const node_event& event) {
   now_ = now;
   effects_.clear();
+  roster_applied_ = false;
   std::visit([this](const auto& e) { Handle(e); }, event);
+  if (roster_applied_) RunOwnership(ownership_tick{});
   return std::move(effects_);
 }
 
@@ -90,7 +139,11 @@
   }
   const auto& place = std::get<place_at>(where);
   if (place.owner == settings_.self) {
-    RunShard(packet.service, shard_packet{packet, caller, waited});
+    if (ownership_.MayAct(now_, packet.service)) {
+      RunShard(packet.service, shard_packet{packet, caller, waited});
+    } else {
+      RefusePacket(packet, caller, NotInCharge(packet));
+    }
     return;
   }
   Forward(place, packet, caller, hops, waited);
@@ -138,7 +191,7 @@
 void node::Handle(const target_announced& event) {
   const service_name& service = event.what.service;
   if (directory_.FindService(service) == nullptr) return;
-  if (OwnerOf(service, settings_.data_centre) != settings_.self) return;
+  if (!shards_.contains(service)) return;
   RunShard(service, shard_announced{event.connection, event.what});
 }
 
@@ -168,6 +221,13 @@
     HandleForwarded(message.packet());
   } else if (message.has_agreement()) {
     RunAgreement(agreement_received{from, message.agreement()});
+  } else if (message.has_ownership()) {
+    HandleOwnership(from, message.ownership());
+  } else if (message.has_index_query()) {
+    HandleIndexQuery(from, message.index_query());
+  } else if (message.has_index_report()) {
+    catch_up_.Reported(from, message.index_report().nonce(),
+                       log_index{message.index_report().applied_index()});
   } else if (message.has_heartbeat()) {
     membership_.Heard(now_, from, message.heartbeat());
     if (message.heartbeat().applied_index() > directory_.applied().value) {
@@ -187,7 +247,7 @@
   const milliseconds waited(message.waited_ms());
   const data_centre_name place{message.data_centre()};
   if (place == settings_.data_centre &&
-      OwnerOf(packet.service, place) == settings_.self) {
+      ownership_.MayAct(now_, packet.service)) {
     RunShard(packet.service, shard_packet{packet, caller, waited});
     return;
   }
@@ -211,19 +271,108 @@
     last_heartbeat_ = now_;
     SendHeartbeats();
   }
+  AskForNewestIndex();
+  RunOwnership(ownership_tick{});
+  KeepRosters();
   std::vector<service_name> names;
   for (const auto& [name, shard] : shards_) names.push_back(name);
-  for (const service_name& name : names) {
-    if (OwnerOf(name, settings_.data_centre) == settings_.self &&
-        directory_.FindService(name) != nullptr) {
-      RunShard(name, shard_tick{});
-    } else {
-      Log("placement", "service " + name.value + " handed over");
-      shards_.erase(name);
+  for (const service_name& name : names) RunShard(name, shard_tick{});
+}
+
+void node::HandleOwnership(const instance_name& from,
+                           const wire::ownership_message& message) {
+  if (message.has_answer()) keeper_.Receive(from, message);
+  RunOwnership(ownership_received{from, message});
+}
+
+void node::HandleIndexQuery(const instance_name& from,
+                            const wire::index_query& query) {
+  wire::peer_message message = NewPeerMessage();
+  auto* report = message.mutable_index_report();
+  report->set_nonce(query.nonce());
+  report->set_applied_index(directory_.applied().value);
+  effects_.emplace_back(send_peer{from, std::move(message)});
+}
+
+void node::AskForNewestIndex() {
+  for (const instance_name& replica : catch_up_.Due(now_)) {
+    wire::peer_message message = NewPeerMessage();
+    message.mutable_index_query()->set_nonce(catch_up_.nonce());
+    effects_.emplace_back(send_peer{replica, std::move(message)});
+  }
+}
+
+void node::RunOwnership(const ownership_event& event) {
+  ownership_view view{
+      .rosters = rosters_,
+      .services = {},
+      .current = IsCurrent(),
+      .drained = [this](const service_name& name) { return IsDrained(name); }};
+  for (const auto& [name, spec] : directory_.services()) {
+    view.services.insert(name);
+  }
+  for (ownership_effect& effect : ownership_.Reduce(now_, view, event)) {
+    if (auto* send = std::get_if<send_ownership>(&effect)) {
+      SendOwnership(std::move(*send));
+    } else if (const auto* started = std::get_if<tenure_started>(&effect)) {
+      StartShard(started->service, started->epoch);
+    } else if (const auto* closing = std::get_if<tenure_closing>(&effect)) {
+      Log("placement", "handing over service " + closing->service.value);
+    } else if (const auto* ended = std::get_if<tenure_ended>(&effect)) {
+      Log("placement", "service " + ended->service.value + " handed over");
+      shards_.erase(ended->service);
+    }
+  }
+}
+
+void node::KeepRosters() {
+  if (!settings_.replica || !IsCurrent()) return;
+  const keeper_view view{.rosters = rosters_,
+                         .standing = [this](const instance_name& name) {
+                           return StandingOf(name);
+                         }};
+  for (keeper_effect& effect : keeper_.Tick(now_, view)) {
+    if (auto* send = std::get_if<send_ownership>(&effect)) {
+      SendOwnership(std::move(*send));
+    } else if (const auto* propose = std::get_if<propose_roster>(&effect)) {
+      RunAgreement(propose_entry{proposal_id{++proposals_},
+                                 EncodeEntry(propose->change)});
     }
   }
 }
 
+void node::SendOwnership(send_ownership send) {
+  wire::peer_message message = NewPeerMessage();
+  *message.mutable_ownership() = std::move(send.message);
+  effects_.emplace_back(send_peer{send.to, std::move(message)});
+}
+
+bool node::IsDrained(const service_name& service) const {
+  auto it = shards_.find(service);
+  return it == shards_.end() || it->second.Load().busy_slots == 0;
+}
+
+instance_standing node::StandingOf(const instance_name& name) const {
+  const member& m = membership_.members().at(name);
+  if (m.last.leaving()) return instance_standing::kLeaving;
+  if (membership_.IsAlive(now_, name)) {
+    return m.last.current() ? instance_standing::kReady
+                            : instance_standing::kUnclear;
+  }
+  return membership_.IsSilent(now_, name) ? instance_standing::kSilent
+                                          : instance_standing::kUnclear;
+}
+
+bool node::IsInternalProposal(const agreement_effect& effect) const {
+  const proposal_id* id = nullptr;
+  if (const auto* done = std::get_if<proposal_chosen>(&effect)) id = &done->id;
+  if (const auto* no = std::get_if<proposal_refused>(&effect)) id = &no->id;
+  if (const auto* late = std::get_if<proposal_timed_out>(&effect)) {
+    id = &late->id;
+  }
+  return id != nullptr && !waiting_.contains(*id);
+}
+
 void node::RunAgreement(const agreement_event& event) {
   for (agreement_effect& effect : agreement_.Reduce(now_, event)) {
     if (auto* persist = std::get_if<persist_record>(&effect)) {
@@ -234,6 +383,8 @@
       effects_.emplace_back(send_peer{send->to, std::move(message)});
     } else if (auto* chosen = std::get_if<entry_chosen>(&effect)) {
       ApplyChosen(*chosen);
+    } else if (IsInternalProposal(effect)) {
+      continue;  // A roster that didn't count is proposed again.
     } else if (auto* done = std::get_if<proposal_chosen>(&effect)) {
       effects_.emplace_back(
           answer_ticket{waiting_[done->id], verdicts_.at(done->index)});
@@ -259,6 +410,9 @@
   const auto* ticket = std::get_if<change_ticket>(&*content);
   if (ticket == nullptr) {
     directory_.Skip(entry.index);
+    if (const auto* roster = std::get_if<roster_change>(&*content)) {
+      ApplyRoster(entry.index, *roster);
+    }
     return;
   }
   verdicts_[entry.index] = directory_.Apply(entry.index, *ticket);
@@ -267,15 +421,26 @@
                     " in force as entry " + std::to_string(entry.index.value));
 }
 
+void node::ApplyRoster(log_index index, const roster_change& change) {
+  if (!rosters_.Apply(index, change)) return;
+  roster_applied_ = true;
+  std::string names;
+  for (const instance_name& name : change.instances) names += " " + name.value;
+  Log("placement", "roster of " + change.data_centre.value + " is now" + names +
+                       ", entry " + std::to_string(index.value));
+}
+
 void node::RunShard(const service_name& name, const shard_event& event) {
   const shard_view view = ShardViewFor(name);
-  for (shard_effect& effect : ShardFor(name).Reduce(now_, view, event)) {
+  const bool may_act = ownership_.MayAct(now_, name);
+  for (shard_effect& effect : shards_.at(name).Reduce(now_, view, event)) {
     if (auto* note = std::get_if<note_decision>(&effect)) {
       Log("shard " + name.value, std::move(note->text));
     } else if (auto* answer = std::get_if<send_answer>(&effect)) {
       effects_.emplace_back(std::move(*answer));
     } else if (auto* run = std::get_if<send_run>(&effect)) {
       CHECK(run->order.service == name) << "a request left its service";
+      CHECK(may_act) << "a request was sent without a valid lease";
       effects_.emplace_back(std::move(*run));
     } else if (auto* cancel = std::get_if<send_cancel>(&effect)) {
       effects_.emplace_back(std::move(*cancel));
@@ -288,8 +453,10 @@
   auto* heartbeat = message.mutable_heartbeat();
   heartbeat->set_incarnation(settings_.incarnation);
   heartbeat->set_applied_index(directory_.applied().value);
+  heartbeat->set_current(IsCurrent());
   heartbeat->set_data_centre(settings_.data_centre.value);
   for (const auto& [name, shard] : shards_) {
+    if (!ownership_.MayAct(now_, name)) continue;
     const shard_load load = shard.Load();
     auto* row = heartbeat->add_capacity();
     row->set_service(name.value);
@@ -313,7 +480,9 @@
   }
   for (const data_centre_name& name : names) {
     data_centre_choice choice{.name = name, .out = directory_.IsOut(name)};
-    if (auto owner = OwnerOf(service, name)) {
+    // A suspected owner gets no new flows; it stays the owner.
+    if (auto owner = OwnerOf(service, name);
+        owner && membership_.IsAlive(now_, *owner)) {
       const member& m = membership_.members().at(*owner);
       for (const auto& row : m.last.capacity()) {
         if (row.service() == service.value) {
@@ -330,7 +499,9 @@
 }
 
 shard_view node::ShardViewFor(const service_name& service) const {
-  shard_view view{.out = directory_.IsOut(settings_.data_centre)};
+  // An owner that may not act admits and sends nothing.
+  shard_view view{.out = directory_.IsOut(settings_.data_centre) ||
+                         !ownership_.MayAct(now_, service)};
   const service_spec* spec = directory_.FindService(service);
   if (spec == nullptr) return view;
   view.flow_idle = spec->flow_idle;
@@ -344,19 +515,20 @@
 
 std::optional<instance_name> node::OwnerOf(const service_name& service,
                                            const data_centre_name& name) const {
-  return OwnerAmong(membership_.AliveIn(now_, name), service);
+  return rosters_.OwnerOf(service, name);
 }
 
-service_shard& node::ShardFor(const service_name& service) {
-  if (auto it = shards_.find(service); it != shards_.end()) return it->second;
-  const owner_epoch epoch{settings_.incarnation + ++shard_epochs_};
+void node::StartShard(const service_name& service, owner_epoch epoch) {
   Log("placement", "taking charge of service " + service.value);
-  return shards_
-      .emplace(service, service_shard({.service = service,
-                                       .data_centre = settings_.data_centre,
-                                       .epoch = epoch,
-                                       .seed = settings_.seed + epoch.value}))
-      .first->second;
+  const bool fresh =
+      shards_
+          .emplace(service,
+                   service_shard({.service = service,
+                                  .data_centre = settings_.data_centre,
+                                  .epoch = epoch,
+                                  .seed = settings_.seed + epoch.value}))
+          .second;
+  CHECK(fresh) << "a service is taken over from itself";
 }
 
 wire::peer_message node::NewPeerMessage() const {
--- a/Source/Node/node.h
+++ b/Source/Node/node.h
@@ -12,7 +12,11 @@
 
 #include "Agreement/agreement.h"
 #include "Directory/directory.h"
+#include "Distribution/catch_up.h"
 #include "Membership/membership.h"
+#include "Ownership/ownership.h"
+#include "Ownership/roster_book.h"
+#include "Ownership/roster_keeper.h"
 #include "Traffic/messages.h"
 #include "Traffic/placement.h"
 #include "Traffic/service_shard.h"
@@ -25,7 +29,7 @@
   std::string deployment;  // Messages of other deployments are refused.
   bool replica = false;
   std::vector<member> members;
-  std::uint64_t incarnation = 0;  // Rises with every start.
+  std::uint64_t incarnation = 0;  // Rises with every start; below 2^38.
   std::uint64_t seed = 0;
 };
 
@@ -92,6 +96,11 @@
 
   const directory& agreed() const { return directory_; }
   const membership& members() const { return membership_; }
+  const roster_book& rosters() const { return rosters_; }
+  // The instance owns the service in its data centre and may act for it.
+  bool MayAct(instant now, const service_name& service) const {
+    return ownership_.MayAct(now, service);
+  }
   const std::map<service_name, service_shard>& shards() const {
     return shards_;
   }
@@ -117,25 +126,44 @@
   void RunAgreement(const agreement_event& event);
   void ApplyChosen(const entry_chosen& entry);
   void RunShard(const service_name& name, const shard_event& event);
+  void ApplyRoster(log_index index, const roster_change& change);
+  void RunOwnership(const ownership_event& event);
+  void HandleOwnership(const instance_name& from,
+                       const wire::ownership_message& message);
+  void HandleIndexQuery(const instance_name& from,
+                        const wire::index_query& query);
+  void AskForNewestIndex();
+  void KeepRosters();
+  void SendOwnership(send_ownership message);
+  bool IsDrained(const service_name& service) const;
+  instance_standing StandingOf(const instance_name& name) const;
+  // The proposal wasn't an operator's ticket.
+  bool IsInternalProposal(const agreement_effect& effect) const;
+  bool Admits(const std::string& value) const;
+  bool IsCurrent() const { return catch_up_.IsCurrent(directory_.applied()); }
   void SendHeartbeats();
   placement_view ViewFor(const service_name& service) const;
   shard_view ShardViewFor(const service_name& service) const;
   std::optional<instance_name> OwnerOf(const service_name& service,
                                        const data_centre_name& name) const;
-  service_shard& ShardFor(const service_name& service);
+  void StartShard(const service_name& service, owner_epoch epoch);
   wire::peer_message NewPeerMessage() const;
   void Log(std::string part, std::string text);
 
   node_settings settings_;
   directory directory_;
   membership membership_;
+  roster_book rosters_;
+  ownership ownership_;
+  roster_keeper keeper_;
+  catch_up catch_up_;
   agreement agreement_;
   std::map<service_name, service_shard> shards_;
   std::map<proposal_id, admin_request> waiting_;
   std::map<proposal_id, change_ticket> proposed_;
   std::map<log_index, ticket_verdict> verdicts_;
   std::uint64_t proposals_ = 0;
-  std::uint64_t shard_epochs_ = 0;
+  bool roster_applied_ = false;  // By the event that is being reduced.
   std::optional<instant> last_heartbeat_;
   // For the event that is being reduced.
   instant now_;
--- a/Source/Runtime/instance_loop.cc
+++ b/Source/Runtime/instance_loop.cc
@@ -41,6 +41,14 @@
   return number;
 }
 
+// Milliseconds since the start of 2025: rises with every start.
+std::uint64_t NewIncarnation() {
+  constexpr milliseconds kStartOf2025{1735689600000};
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      (std::chrono::duration_cast<milliseconds>(now) - kStartOf2025).count());
+}
+
 node_settings NodeSettings(const settings& from) {
   node_settings result{.self = from.instance,
                        .data_centre = {},
@@ -60,10 +68,7 @@
       result.replica = instance.replica;
     }
   }
-  result.incarnation = static_cast<std::uint64_t>(
-      std::chrono::duration_cast<microseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
+  result.incarnation = NewIncarnation();
   return result;
 }
 
