--- a/Source/Ctl/main.cc
+++ b/Source/Ctl/main.cc
@@ -9,6 +9,7 @@
 #include <iterator>
 #include <string>
 
+DEFINE_bool(json, false, "Print JSON for programs.");
 DEFINE_string(admin, "127.0.0.1:7300", "ip:port of an instance's admin API.");
 
 namespace {
--- a/Tools/demo.py
+++ b/Tools/demo.py
@@ -80,13 +80,13 @@
                     f"--journal={journal}", "--cold_ms=500"])
                 self.targets[name] = (process, zone, service, journal)
 
-    def start_callers(self):
+    def start_callers(self, seconds=CROWD_S):
         mix = ",".join("/".join(map(str, m)) for m in MIXES[self.name])
         addresses = ",".join(
             s["caller_address"] for _, s in self.settings.values())
         return subprocess.Popen(
             [BIN / "standin", "--mode=callers", f"--instances={addresses}",
-             f"--mix={mix}", f"--seconds={CROWD_S}"],
+             f"--mix={mix}", f"--seconds={seconds}"],
             stdout=subprocess.PIPE, text=True)
 
     def ctl(self, instance, *words):
