--- a/Source/Benchmarks/node_costs.cc
+++ b/Source/Benchmarks/node_costs.cc
@@ -18,20 +18,20 @@
 namespace lavendertack {
 namespace {
 
-const service_name kService{"catalogue"};
-const caller_address kCaller{"127.0.0.1:40000"};
+service_name Service() { return {"catalogue"}; }
+caller_address Caller() { return {"127.0.0.1:40000"}; }
 
 change_ticket FirstTicket() {
   change_ticket ticket{.number = {1}};
   ticket.classes.push_back({{"browse"}, {1}, false});
   ticket.services.push_back(
-      {.name = kService, .classes = {{"browse"}}, .flow_idle = seconds(3600)});
+      {.name = Service(), .classes = {{"browse"}}, .flow_idle = seconds(3600)});
   return ticket;
 }
 
 announcement Announce(int i) {
   return {.target = {"catalogue-" + std::to_string(i)},
-          .service = kService,
+          .service = Service(),
           .boot = {1},
           .state = target_state::kReady,
           .slots = 2,
@@ -78,9 +78,9 @@
   // Opens flow `id`; its token, or nothing when it was refused.
   std::optional<flow_token> Open(std::uint64_t id) {
     for (const node_effect& effect :
-         Reduce(caller_spoke{kCaller,
+         Reduce(caller_spoke{Caller(),
                              {.flow = {id},
-                             .service = kService,
+                             .service = Service(),
                              .token = std::nullopt,
                              .body = open_flow{}}})) {
       if (const auto* answer = std::get_if<send_answer>(&effect)) {
@@ -138,9 +138,9 @@
                         [&](int i) {
                           const std::size_t k =
                               static_cast<std::size_t>(i) % tokens.size();
-                          b.Reduce(caller_spoke{kCaller,
+                          b.Reduce(caller_spoke{Caller(),
                                                 {.flow = {k + 1},
-                                                 .service = kService,
+                                                 .service = Service(),
                                                  .token = tokens[k],
                                                  .body = keep_alive{}}});
                         }),
