Ctl, Node: verbs for operators; tickets may go to any instance

Cause: lavendertackctl printed raw JSON of one instance, knew three verbs, and a ticket handed to an instance without a vote was turned away (421).

A submit waits until no instance is behind. - Node/ticket_relay passes a ticket on to a replica with a timeout for each try and one for the whole; the outcome is open (503) when nobody decided.

--- /dev/null
+++ b/Source/Ctl/http_transport.h
@@ -0,0 +1,16 @@
+// The administration API over HTTP.
+#ifndef LAVENDERTACK_CTL_HTTP_TRANSPORT_H_
+#define LAVENDERTACK_CTL_HTTP_TRANSPORT_H_
+
+#include <chrono>
+
+#include "Ctl/admin_client.h"
+
+namespace lavendertack {
+
+// A transport that waits at most `timeout` for each answer.
+admin_transport HttpTransport(std::chrono::milliseconds timeout);
+
+}  // namespace lavendertack
+
+#endif  // LAVENDERTACK_CTL_HTTP_TRANSPORT_H_
--- a/Source/Ctl/main.cc
+++ b/Source/Ctl/main.cc
@@ -1,59 +1,69 @@
 // lavendertackctl: the operators' command line.
-#include <cxxtools/http/client.h>
-#include <cxxtools/http/request.h>
 #include <gflags/gflags.h>
+#include <unistd.h>
 
-#include <cstdint>
-#include <fstream>
 #include <iostream>
-#include <iterator>
+#include <sstream>
 #include <string>
+#include <thread>
+#include <vector>
 
-DEFINE_string(admin, "127.0.0.1:7300", "ip:port of an instance's admin API.");
+#include "Config/machine_check.h"
+#include "Ctl/http_transport.h"
+#include "Ctl/verbs.h"
 
-namespace {
+DEFINE_string(admin, "127.0.0.1:7300",
+              "ip:port of the administration API of one or more instances, by "
+              "comma.");
+DEFINE_string(token_file, "", "File with the token that changes need.");
+DEFINE_bool(json, false, "Answers for programs.");
+DEFINE_bool(take_next_number, false,
+            "dc out|in: try the next number when one is taken.");
+DEFINE_uint32(wait_s, 10,
+              "Longest wait for a ticket to be in force everywhere, seconds.");
+DEFINE_uint32(timeout_s, 12, "Longest wait for one answer, seconds.");
+DECLARE_bool(help);
 
-constexpr int kExitUsage = 2;
-constexpr int kExitRefused = 3;
-constexpr int kExitUnreachable = 4;
+namespace {
 
-int Ask(const std::string& method, const std::string& path,
-        const std::string& body) {
-  const auto colon = FLAGS_admin.rfind(':');
-  if (colon == std::string::npos) return kExitUsage;
-  try {
-    cxxtools::http::Client client(
-        FLAGS_admin.substr(0, colon),
-        static_cast<std::uint16_t>(std::stoi(FLAGS_admin.substr(colon + 1))));
-    cxxtools::http::Request request(path);
-    request.method(method);
-    request.body() << body;
-    client.execute(request);
-    std::cout << client.readBody().body();
-    return client.header().httpReturnCode() < 300 ? 0 : kExitRefused;
-  } catch (const std::exception& error) {
-    std::cerr << "can't reach " << FLAGS_admin << ": " << error.what() << "\n";
-    return kExitUnreachable;
-  }
+std::vector<std::string> SplitByComma(const std::string& text) {
+  std::stringstream in(text);
+  std::vector<std::string> parts;
+  for (std::string part; std::getline(in, part, ',');) parts.push_back(part);
+  return parts;
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  gflags::SetUsageMessage("lavendertackctl [--admin ip:port] VERB");
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
-  const std::string verb = argc > 1 ? argv[1] : "";
-  if (verb == "status") return Ask("GET", "/v1/status", "");
-  if (verb == "targets") return Ask("GET", "/v1/targets", "");
-  if (verb == "ticket" && argc > 2 && std::string(argv[2]) == "list") {
-    return Ask("GET", "/v1/tickets", "");
+  using namespace lavendertack;  // NOLINT(google-build-using-namespace)
+  gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
+  std::vector<std::string> words(argv + 1, argv + argc);
+  const bool help = FLAGS_help || (!words.empty() && words[0] == "help");
+  if (help) {
+    if (!words.empty() && words[0] == "help") words.erase(words.begin());
+    std::cout << HelpOn(words);
+    return kExitDone;
   }
-  if (verb == "ticket" && argc > 3 && std::string(argv[2]) == "submit") {
-    std::ifstream in(argv[3]);
-    const std::string body((std::istreambuf_iterator<char>(in)),
-                           std::istreambuf_iterator<char>());
-    return Ask("POST", "/v1/tickets", body);
+  std::string token;
+  if (!FLAGS_token_file.empty()) {
+    auto read = ReadTokenFile(FLAGS_token_file);
+    if (auto* error = std::get_if<settings_error>(&read)) {
+      std::cerr << error->path << " " << error->reason << "\n";
+      return kExitUsage;
+    }
+    token = std::get<std::string>(read);
   }
-  std::cerr << "verbs: status | targets | ticket list | ticket submit FILE\n";
-  return kExitUsage;
+  const verb_context context{
+      .client =
+          admin_client(SplitByComma(FLAGS_admin), token,
+                       HttpTransport(std::chrono::seconds(FLAGS_timeout_s))),
+      .options = {.json = FLAGS_json,
+                  .progress = isatty(STDERR_FILENO) == 1 && !FLAGS_json,
+                  .take_next_number = FLAGS_take_next_number,
+                  .wait = std::chrono::seconds(FLAGS_wait_s)},
+      .out = std::cout,
+      .err = std::cerr,
+      .sleep = [](milliseconds time) { std::this_thread::sleep_for(time); }};
+  return RunVerb(context, words);
 }
--- /dev/null
+++ b/Source/Ctl/verb_runs.h
@@ -0,0 +1,38 @@
+// What each verb does. Every function returns an exit code.
+#ifndef LAVENDERTACK_CTL_VERB_RUNS_H_
+#define LAVENDERTACK_CTL_VERB_RUNS_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Ctl/verbs.h"
+
+namespace lavendertack {
+
+using verb_words = std::vector<std::string>;
+
+int SubmitTicket(const verb_context& context, const verb_words& words);
+int ShowTicket(const verb_context& context, const verb_words& words);
+int ListTickets(const verb_context& context, const verb_words& words);
+int TakeDataCentreOut(const verb_context& context, const verb_words& words);
+int TakeDataCentreIn(const verb_context& context, const verb_words& words);
+int ShowStatus(const verb_context& context, const verb_words& words);
+int ShowTargets(const verb_context& context, const verb_words& words);
+int ShowFlows(const verb_context& context, const verb_words& words);
+int Explain(const verb_context& context, const verb_words& words);
+int CheckSettings(const verb_context& context, const verb_words& words);
+int PrintSettingsReference(const verb_context& context,
+                           const verb_words& words);
+
+// Asks, prints a failure to reach anybody, and returns nothing then.
+std::optional<admin_reply> AskOrTell(const verb_context& context,
+                                     const std::string& method,
+                                     const std::string& path,
+                                     const std::string& body = "");
+// Prints an answer that is no success and returns its exit code.
+int TellRefusal(const verb_context& context, const admin_reply& reply);
+
+}  // namespace lavendertack
+
+#endif  // LAVENDERTACK_CTL_VERB_RUNS_H_
--- a/Source/Node/node.cc
+++ b/Source/Node/node.cc
@@ -15,6 +15,8 @@
 constexpr std::uint32_t kMaxHops = 2;
 // When a caller that no instance could serve may come back.
 constexpr milliseconds kComeBack{500};
+// Proposals that may wait for their outcome at a time.
+constexpr std::size_t kMaxProposals = 256;
 // Verdicts kept for proposals that are still being answered.
 constexpr std::size_t kKeptVerdicts = 64;
 
@@ -48,7 +50,8 @@
                    const auto verdict =
                        directory_.Check(std::get<change_ticket>(ticket));
                    return std::holds_alternative<ticket_accepted>(verdict);
-                 }) {}
+                 }),
+      relay_(settings_.seed) {}
 
 void node::Restore(const wire::stored_record& record) {
   agreement_.Restore(record);
@@ -168,6 +171,10 @@
     HandleForwarded(message.packet());
   } else if (message.has_agreement()) {
     RunAgreement(agreement_received{from, message.agreement()});
+  } else if (message.has_ticket_ask()) {
+    HandleTicketAsk(from, message.ticket_ask());
+  } else if (message.has_ticket_reply()) {
+    RunRelay(relay_.Receive(now_, message.ticket_reply(), RelayOrder()));
   } else if (message.has_heartbeat()) {
     membership_.Heard(now_, from, message.heartbeat());
     if (message.heartbeat().applied_index() > directory_.applied().value) {
@@ -195,18 +202,75 @@
 }
 
 void node::Handle(const ticket_submitted& event) {
-  if (!settings_.replica) {
-    effects_.emplace_back(answer_ticket{event.request, not_a_replica{}});
+  if (settings_.replica) {
+    ProposeTicket(event.request, event.ticket);
+  } else {
+    RunRelay(relay_.Submit(now_, event.request, event.ticket, RelayOrder()));
+  }
+}
+
+void node::HandleTicketAsk(const instance_name& from,
+                           const wire::ticket_ask& message) {
+  auto ticket = DecodeTicket(message.entry());
+  if (!settings_.replica || !std::holds_alternative<change_ticket>(ticket)) {
     return;
   }
+  if (waiting_.size() >= kMaxProposals) return;  // It asks another replica.
+  ProposeTicket(relayed_ticket{from, message.id()},
+                std::get<change_ticket>(ticket));
+}
+
+void node::ProposeTicket(const ticket_origin& origin,
+                         const change_ticket& ticket) {
   const proposal_id id{++proposals_};
-  waiting_[id] = event.request;
-  proposed_[id] = event.ticket;
-  RunAgreement(propose_entry{id, EncodeTicket(event.ticket)});
+  waiting_[id] = origin;
+  proposed_[id] = ticket;
+  RunAgreement(propose_entry{id, EncodeTicket(ticket)});
+}
+
+void node::AnswerProposal(proposal_id id, const ticket_outcome& outcome) {
+  const auto it = waiting_.find(id);
+  CHECK(it != waiting_.end()) << "a proposal was answered twice";
+  if (const auto* request = std::get_if<admin_request>(&it->second)) {
+    effects_.emplace_back(answer_ticket{*request, outcome});
+  } else {
+    const auto& relayed = std::get<relayed_ticket>(it->second);
+    wire::peer_message message = NewPeerMessage();
+    *message.mutable_ticket_reply() = EncodeOutcome(relayed.id, outcome);
+    effects_.emplace_back(send_peer{relayed.from, std::move(message)});
+  }
+  waiting_.erase(it);
+  proposed_.erase(id);
+}
+
+void node::RunRelay(std::vector<relay_effect> effects) {
+  for (relay_effect& effect : effects) {
+    if (auto* answer = std::get_if<answer_ticket>(&effect)) {
+      effects_.emplace_back(std::move(*answer));
+      continue;
+    }
+    auto& relayed = std::get<relay_ticket>(effect);
+    wire::peer_message message = NewPeerMessage();
+    *message.mutable_ticket_ask() = std::move(relayed.message);
+    effects_.emplace_back(send_peer{relayed.to, std::move(message)});
+  }
+}
+
+std::vector<instance_name> node::RelayOrder() const {
+  std::vector<instance_name> order;
+  for (const auto& [name, m] : membership_.members()) {
+    if (m.replica && name != settings_.self) order.push_back(name);
+  }
+  std::stable_partition(order.begin(), order.end(),
+                        [this](const instance_name& name) {
+                          return membership_.IsAlive(now_, name);
+                        });
+  return order;
 }
 
 void node::Handle(const node_tick&) {
   RunAgreement(agreement_tick{});
+  RunRelay(relay_.Tick(now_, RelayOrder()));
   if (!last_heartbeat_ || now_ - *last_heartbeat_ >= kHeartbeatInterval) {
     last_heartbeat_ = now_;
     SendHeartbeats();
@@ -235,20 +299,11 @@
     } else if (auto* chosen = std::get_if<entry_chosen>(&effect)) {
       ApplyChosen(*chosen);
     } else if (auto* done = std::get_if<proposal_chosen>(&effect)) {
-      effects_.emplace_back(
-          answer_ticket{waiting_[done->id], verdicts_.at(done->index)});
-      waiting_.erase(done->id);
-      proposed_.erase(done->id);
+      AnswerProposal(done->id, verdicts_.at(done->index));
     } else if (auto* refused = std::get_if<proposal_refused>(&effect)) {
-      effects_.emplace_back(answer_ticket{
-          waiting_[refused->id], directory_.Check(proposed_.at(refused->id))});
-      waiting_.erase(refused->id);
-      proposed_.erase(refused->id);
+      AnswerProposal(refused->id, directory_.Check(proposed_.at(refused->id)));
     } else if (auto* late = std::get_if<proposal_timed_out>(&effect)) {
-      effects_.emplace_back(
-          answer_ticket{waiting_[late->id], ticket_undecided{}});
-      waiting_.erase(late->id);
-      proposed_.erase(late->id);
+      AnswerProposal(late->id, ticket_undecided{});
     }
   }
 }
--- a/Source/Node/node.h
+++ b/Source/Node/node.h
@@ -13,6 +13,7 @@
 #include "Agreement/agreement.h"
 #include "Directory/directory.h"
 #include "Membership/membership.h"
+#include "Node/ticket_relay.h"
 #include "Traffic/messages.h"
 #include "Traffic/placement.h"
 #include "Traffic/service_shard.h"
@@ -29,9 +30,6 @@
   std::uint64_t seed = 0;
 };
 
-// Number of an operator's request within the process.
-using admin_request = strong_type<struct admin_request_tag, std::uint64_t>;
-
 // Events.
 struct caller_spoke {
   caller_address from;
@@ -65,14 +63,6 @@
   instance_name to;
   wire::peer_message message;
 };
-struct ticket_undecided {};  // No quorum answered; a resend is safe.
-struct not_a_replica {};
-using ticket_outcome =
-    std::variant<ticket_verdict, ticket_undecided, not_a_replica>;
-struct answer_ticket {
-  admin_request request;
-  ticket_outcome outcome;
-};
 // A line for the log; `part` is its fixed prefix.
 struct log_line {
   std::string part;
@@ -98,6 +88,14 @@
   const node_settings& settings() const { return settings_; }
 
  private:
+  // Who waits for the outcome of a ticket: an operator's request here, or
+  // another instance that passed the ticket on.
+  struct relayed_ticket {
+    instance_name from;
+    std::uint64_t id = 0;
+  };
+  using ticket_origin = std::variant<admin_request, relayed_ticket>;
+
   void Handle(const caller_spoke& event);
   void Handle(const target_announced& event);
   void Handle(const target_answered& event);
@@ -114,6 +112,13 @@
   void RefusePacket(const caller_packet& packet, const caller_address& caller,
                     const place_refused& refusal);
   void HandleForwarded(const wire::forwarded_packet& message);
+  void HandleTicketAsk(const instance_name& from,
+                       const wire::ticket_ask& message);
+  void ProposeTicket(const ticket_origin& origin, const change_ticket& ticket);
+  void AnswerProposal(proposal_id id, const ticket_outcome& outcome);
+  void RunRelay(std::vector<relay_effect> effects);
+  // The replicas in the order in which a ticket is passed on to them.
+  std::vector<instance_name> RelayOrder() const;
   void RunAgreement(const agreement_event& event);
   void ApplyChosen(const entry_chosen& entry);
   void RunShard(const service_name& name, const shard_event& event);
@@ -131,7 +136,8 @@
   membership membership_;
   agreement agreement_;
   std::map<service_name, service_shard> shards_;
-  std::map<proposal_id, admin_request> waiting_;
+  ticket_relay relay_;
+  std::map<proposal_id, ticket_origin> waiting_;
   std::map<proposal_id, change_ticket> proposed_;
   std::map<log_index, ticket_verdict> verdicts_;
   std::uint64_t proposals_ = 0;
--- /dev/null
+++ b/Source/Node/ticket_relay.cc
@@ -0,0 +1,101 @@
+#include "Node/ticket_relay.h"
+
+namespace lavendertack {
+
+std::vector<relay_effect> ticket_relay::Submit(
+    instant now, admin_request request, const change_ticket& ticket,
+    const std::vector<instance_name>& replicas) {
+  if (replicas.empty()) return {answer_ticket{request, ticket_undecided{}}};
+  const std::uint64_t id = next_id_++;
+  pending& added = pending_[id];
+  added = {.request = request,
+           .entry = EncodeTicket(ticket),
+           .tries = 0,
+           .next_try = now,
+           .give_up = now + kRelayTimeout};
+  return {TryNext(now, id, &added, replicas)};
+}
+
+relay_effect ticket_relay::TryNext(instant now, std::uint64_t id,
+                                   pending* ticket,
+                                   const std::vector<instance_name>& replicas) {
+  wire::ticket_ask message;
+  message.set_id(id);
+  message.set_entry(ticket->entry);
+  ticket->next_try = now + kRelayTryTimeout;
+  const std::size_t index = ticket->tries++ % replicas.size();
+  return relay_ticket{replicas[index], std::move(message)};
+}
+
+std::vector<relay_effect> ticket_relay::Receive(
+    instant now, const wire::ticket_reply& reply,
+    const std::vector<instance_name>& replicas) {
+  auto it = pending_.find(reply.id());
+  if (it == pending_.end()) return {};  // Late, or of an earlier life.
+  const ticket_outcome outcome = DecodeOutcome(reply);
+  if (std::holds_alternative<ticket_undecided>(outcome) && !replicas.empty()) {
+    return {TryNext(now, it->first, &it->second, replicas)};
+  }
+  const admin_request request = it->second.request;
+  pending_.erase(it);
+  return {answer_ticket{request, outcome}};
+}
+
+std::vector<relay_effect> ticket_relay::Tick(
+    instant now, const std::vector<instance_name>& replicas) {
+  std::vector<relay_effect> effects;
+  for (auto it = pending_.begin(); it != pending_.end();) {
+    auto& [id, ticket] = *it;
+    if (ticket.give_up <= now) {
+      effects.emplace_back(answer_ticket{ticket.request, ticket_undecided{}});
+      it = pending_.erase(it);
+      continue;
+    }
+    if (ticket.next_try <= now && !replicas.empty()) {
+      effects.push_back(TryNext(now, id, &ticket, replicas));
+    }
+    ++it;
+  }
+  return effects;
+}
+
+wire::ticket_reply EncodeOutcome(std::uint64_t id,
+                                 const ticket_outcome& outcome) {
+  wire::ticket_reply reply;
+  reply.set_id(id);
+  const auto* verdict = std::get_if<ticket_verdict>(&outcome);
+  if (verdict == nullptr) return reply;
+  if (const auto* accepted = std::get_if<ticket_accepted>(verdict)) {
+    reply.mutable_accepted()->set_entry(accepted->index.value);
+  } else if (const auto* conflict = std::get_if<ticket_conflict>(verdict)) {
+    reply.mutable_conflict()->set_number(conflict->number.value);
+    reply.mutable_conflict()->set_entry(conflict->index.value);
+  } else if (const auto* outdated = std::get_if<ticket_outdated>(verdict)) {
+    reply.mutable_outdated()->set_newest_number(outdated->newest.value);
+  } else if (const auto* invalid = std::get_if<ticket_invalid>(verdict)) {
+    reply.mutable_invalid()->set_field(invalid->error.field);
+    reply.mutable_invalid()->set_reason(invalid->error.reason);
+  }
+  return reply;
+}
+
+ticket_outcome DecodeOutcome(const wire::ticket_reply& reply) {
+  switch (reply.outcome_case()) {
+    case wire::ticket_reply::kAccepted:
+      return ticket_verdict{ticket_accepted{{reply.accepted().entry()}}};
+    case wire::ticket_reply::kConflict:
+      return ticket_verdict{ticket_conflict{{reply.conflict().number()},
+                                            {reply.conflict().entry()}}};
+    case wire::ticket_reply::kOutdated:
+      return ticket_verdict{
+          ticket_outdated{{reply.outdated().newest_number()}}};
+    case wire::ticket_reply::kInvalid:
+      return ticket_verdict{
+          ticket_invalid{{reply.invalid().field(), reply.invalid().reason()}}};
+    case wire::ticket_reply::OUTCOME_NOT_SET:
+      break;
+  }
+  return ticket_undecided{};
+}
+
+}  // namespace lavendertack
--- a/Source/Runtime/admin_api.cc
+++ b/Source/Runtime/admin_api.cc
@@ -87,9 +87,6 @@
   if (const auto* verdict = std::get_if<ticket_verdict>(&outcome)) {
     return DescribeVerdict(*verdict);
   }
-  if (std::holds_alternative<not_a_replica>(outcome)) {
-    return Json(421, {{"result", "not a replica"}});
-  }
   return Json(503, {{"result", "undecided"},
                     {"reason",
                      "no quorum of replicas answered; a resend is "
