Runtime: administration API with token, bounds, readiness and metrics; capped log

Cause: anybody on the machine could change the state over the API; bodies had no bound; a loop that ended left HTTP threads waiting up to 10 s; packets were dropped without a count; each decision cost a log line.

- Changes need the token of a file of mode 0600, compared in constant time; 413 beyond 256 KiB, 405, 401, 403. /v1/live, /v1/ready, /v1/tickets/N, /v1/decisions/FLOW, /metrics (Boost.Accumulators for quantiles).
- Messages of other deployments, unknown senders and oversized ones are counted and dropped before they reach the reducer.
- Runtime/decision_log caps lines about single flows, logs how many it left out, and keeps the latest decisions for lavendertackctl explain.
- SIGTERM ends when nothing is in progress or after stop_within_ms, a second one at once; a taken address is named and ends with exit code 4.

Seen failing first: the drop of a too large body with istream::ignore, which reads on past the buffer and cut the connection (AdminTest, status 0).

--- a/Source/Node/node.cc
+++ b/Source/Node/node.cc
@@ -115,9 +115,11 @@
   forwarded->set_data_centre(place.data_centre.value);
   forwarded->set_waited_ms(static_cast<std::uint32_t>(waited.count()));
   if (hops == 0 && std::holds_alternative<open_flow>(packet.body)) {
-    Log("entry", "flow " + std::to_string(packet.flow.value) + " of " +
-                     packet.service.value + " sent to " + place.owner.value +
-                     " in " + place.data_centre.value);
+    Log("entry",
+        "flow " + std::to_string(packet.flow.value) + " of " +
+            packet.service.value + " sent to " + place.owner.value + " in " +
+            place.data_centre.value,
+        packet.flow);
   }
   effects_.emplace_back(send_peer{place.owner, std::move(message)});
 }
@@ -125,8 +127,10 @@
 void node::RefusePacket(const caller_packet& packet,
                         const caller_address& caller,
                         const place_refused& refusal) {
-  Log("entry", "flow " + std::to_string(packet.flow.value) + " refused, " +
-                   std::string(ToString(refusal.reason)));
+  Log("entry",
+      "flow " + std::to_string(packet.flow.value) + " refused, " +
+          std::string(ToString(refusal.reason)),
+      packet.flow, RequestOf(packet));
   effects_.emplace_back(send_answer{
       caller, caller_answer{.flow = packet.flow,
                             .request = RequestOf(packet),
@@ -421,8 +425,10 @@
   return message;
 }
 
-void node::Log(std::string part, std::string text) {
-  effects_.emplace_back(log_line{std::move(part), std::move(text)});
+void node::Log(std::string part, std::string text, flow_id flow,
+               request_number request) {
+  effects_.emplace_back(
+      log_line{std::move(part), std::move(text), flow, request});
 }
 
 }  // namespace lavendertack
--- a/Source/Node/node.h
+++ b/Source/Node/node.h
@@ -67,6 +67,8 @@
 struct log_line {
   std::string part;
   std::string text;
+  flow_id flow;            // 0: about no single flow.
+  request_number request;  // 0: about the flow itself.
 };
 using node_effect = std::variant<send_answer, send_run, send_cancel, send_peer,
                                  persist_record, answer_ticket, log_line>;
@@ -129,7 +131,8 @@
                                        const data_centre_name& name) const;
   service_shard& ShardFor(const service_name& service);
   wire::peer_message NewPeerMessage() const;
-  void Log(std::string part, std::string text);
+  void Log(std::string part, std::string text, flow_id flow = {},
+           request_number request = {});
 
   node_settings settings_;
   directory directory_;
--- a/Source/Runtime/admin_api.cc
+++ b/Source/Runtime/admin_api.cc
@@ -1,6 +1,9 @@
 #include "Runtime/admin_api.h"
 
+#include <algorithm>
+#include <charconv>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 namespace lavendertack {
 namespace {
@@ -8,7 +11,9 @@
 using nlohmann::json;
 
 http_answer Json(unsigned status, const json& body) {
-  return {status, body.dump() + "\n"};
+  // A name that isn't UTF-8 must not keep the rest from being told.
+  return {status,
+          body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n"};
 }
 
 http_answer DescribeVerdict(const ticket_verdict& verdict) {
@@ -31,8 +36,6 @@
             {"errors", {{{"field", error.field}, {"reason", error.reason}}}}});
 }
 
-}  // namespace
-
 http_answer DescribeStatus(const node& state, instant now) {
   json instances = json::array();
   for (const auto& [name, m] : state.members().members()) {
@@ -71,7 +74,8 @@
                          {"flows", target.flows}});
     }
   }
-  return Json(200, {{"targets", targets}});
+  return Json(
+      200, {{"instance", state.settings().self.value}, {"targets", targets}});
 }
 
 http_answer DescribeTickets(const node& state) {
@@ -83,6 +87,141 @@
   return Json(200, {{"tickets", tickets}});
 }
 
+json DescribeTicket(const change_ticket& ticket) {
+  json services = json::array();
+  for (const service_spec& spec : ticket.services) {
+    json classes = json::array();
+    for (const class_name& name : spec.classes) classes.push_back(name.value);
+    services.push_back({{"name", spec.name.value},
+                        {"classes", classes},
+                        {"flow_idle_s", spec.flow_idle.count()},
+                        {"removed", spec.removed}});
+  }
+  json classes = json::array();
+  for (const class_spec& spec : ticket.classes) {
+    classes.push_back({{"name", spec.name.value},
+                       {"price", spec.price.value},
+                       {"removed", spec.removed}});
+  }
+  json data_centres = json::array();
+  for (const data_centre_spec& spec : ticket.data_centres) {
+    data_centres.push_back({{"name", spec.name.value}, {"out", spec.out}});
+  }
+  return {{"number", ticket.number.value},
+          {"services", services},
+          {"classes", classes},
+          {"data_centres", data_centres}};
+}
+
+std::optional<std::uint64_t> ParseNumber(const std::string& text) {
+  std::uint64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, number);
+  if (error != std::errc() || rest != end) return std::nullopt;
+  return number;
+}
+
+http_answer NotFound(const std::string& what) {
+  return Json(404, {{"error", what}});
+}
+
+http_answer ShowTicket(const node& state, const std::string& text) {
+  const auto number = ParseNumber(text);
+  if (!number) return Json(400, {{"error", "the number is no whole number"}});
+  const auto it = state.agreed().accepted().find({*number});
+  if (it == state.agreed().accepted().end()) {
+    return NotFound("no such ticket is accepted");
+  }
+  auto ticket = DecodeTicket(it->second.encoded);
+  if (std::holds_alternative<ticket_error>(ticket)) {
+    return NotFound("the ticket is no longer kept");
+  }
+  return Json(200,
+              {{"entry", it->second.index.value},
+               {"ticket", DescribeTicket(std::get<change_ticket>(ticket))}});
+}
+
+http_answer DescribeDecisions(const admin_view& view, const std::string& flow,
+                              const std::string& request) {
+  const auto flow_number = ParseNumber(flow);
+  std::optional<request_number> only;
+  if (!request.empty()) {
+    const auto number = ParseNumber(request);
+    if (!number) return Json(400, {{"error", "the request is no number"}});
+    only = request_number{*number};
+  }
+  if (!flow_number) return Json(400, {{"error", "the flow is no number"}});
+  json decisions = json::array();
+  for (const kept_decision* d : view.decisions.Find({*flow_number}, only)) {
+    const auto ago =
+        std::chrono::duration_cast<milliseconds>(view.now - d->when);
+    decisions.push_back({{"ago_ms", ago.count()},
+                         {"part", d->line.part},
+                         {"request", d->line.request.value},
+                         {"text", d->line.text}});
+  }
+  return Json(200, {{"instance", view.state.settings().self.value},
+                    {"decisions", decisions}});
+}
+
+// Entries that others have and this instance doesn't.
+std::uint64_t EntriesBehind(const node& state) {
+  std::uint64_t newest = state.agreed().applied().value;
+  for (const auto& [name, m] : state.members().members()) {
+    newest = std::max(newest, m.last.applied_index());
+  }
+  return newest - state.agreed().applied().value;
+}
+
+http_answer DescribeReadiness(const admin_view& view) {
+  const std::uint64_t behind = EntriesBehind(view.state);
+  const bool ready = !view.stopping && behind <= kReadyWithinEntries;
+  return Json(ready ? 200 : 503, {{"ready", ready},
+                                  {"stopping", view.stopping},
+                                  {"entries_behind", behind}});
+}
+
+// Segments of a path: "/v1/tickets/4" has v1, tickets and 4.
+std::vector<std::string> Segments(const std::string& path) {
+  std::vector<std::string> segments;
+  std::istringstream in(path.substr(path.empty() ? 0 : 1));
+  for (std::string segment; std::getline(in, segment, '/');) {
+    segments.push_back(segment);
+  }
+  return segments;
+}
+
+http_answer AnswerItem(const admin_view& view,
+                       const std::vector<std::string>& segments) {
+  if (segments[1] == "tickets" && segments.size() == 3) {
+    return ShowTicket(view.state, segments[2]);
+  }
+  if (segments[1] == "decisions") {
+    return DescribeDecisions(view, segments[2],
+                             segments.size() == 4 ? segments[3] : "");
+  }
+  return NotFound("no such path");
+}
+
+}  // namespace
+
+http_answer AnswerQuery(const admin_view& view, const std::string& path) {
+  if (path == "/v1/live") return Json(200, {{"live", true}});
+  if (path == "/v1/ready") return DescribeReadiness(view);
+  if (path == "/v1/status") return DescribeStatus(view.state, view.now);
+  if (path == "/v1/targets") return DescribeTargets(view.state);
+  if (path == "/v1/tickets") return DescribeTickets(view.state);
+  if (path == "/metrics") {
+    return {200, view.counts.Expose(view.state, view.totals),
+            "text/plain; version=0.0.4"};
+  }
+  const auto segments = Segments(path);
+  if (segments.size() < 3 || segments.size() > 4 || segments[0] != "v1") {
+    return NotFound("no such path");
+  }
+  return AnswerItem(view, segments);
+}
+
 http_answer DescribeOutcome(const ticket_outcome& outcome) {
   if (const auto* verdict = std::get_if<ticket_verdict>(&outcome)) {
     return DescribeVerdict(*verdict);
--- a/Source/Runtime/admin_server.h
+++ b/Source/Runtime/admin_server.h
@@ -12,8 +12,9 @@
 
 class admin_server {
  public:
-  // Throws std::exception when the address can't be listened on.
-  admin_server(const endpoint& address, admin_queue* queue);
+  // `token` is what changes need. Throws std::exception when the address can't
+  // be listened on.
+  admin_server(const endpoint& address, std::string token, admin_queue* queue);
   admin_server(const admin_server&) = delete;
   admin_server& operator=(const admin_server&) = delete;
   ~admin_server();
--- a/Source/Runtime/instance_loop.cc
+++ b/Source/Runtime/instance_loop.cc
@@ -5,16 +5,21 @@
 #include <sys/random.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <ctime>
 #include <filesystem>
 #include <map>
+#include <optional>
 #include <zmq.hpp>
 
+#include "Config/machine_check.h"
 #include "Node/node.h"
 #include "Runtime/admin_api.h"
 #include "Runtime/admin_queue.h"
 #include "Runtime/admin_server.h"
 #include "Runtime/caller_socket.h"
+#include "Runtime/decision_log.h"
+#include "Runtime/metrics.h"
 #include "Runtime/peer_links.h"
 #include "Runtime/target_links.h"
 #include "Storage/record_log.h"
@@ -75,7 +80,8 @@
         wake_file_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
         admin_queue_([this] { eventfd_write(wake_file_, 1); }),
         peers_(&context_, settings),
-        targets_(&context_, settings.target_address) {}
+        targets_(&context_, settings.target_address),
+        decisions_(settings.log_decisions, WriteLine) {}
 
   ~instance_loop() { close(wake_file_); }
 
@@ -87,15 +93,23 @@
     if (!settings_.data_folder.empty()) {
       if (auto error = OpenLog()) return *error;
     }
-    admin_ =
-        std::make_unique<admin_server>(settings_.admin_address, &admin_queue_);
+    std::string token;
+    if (!settings_.admin_token_file.empty()) {
+      auto read = ReadTokenFile(settings_.admin_token_file);
+      if (auto* error = std::get_if<settings_error>(&read)) {
+        return instance_error{error->path + " " + error->reason};
+      }
+      token = std::get<std::string>(std::move(read));
+    }
+    admin_ = std::make_unique<admin_server>(settings_.admin_address,
+                                            std::move(token), &admin_queue_);
     return std::monostate{};
   }
 
   void Run(const std::atomic<int>& stop) {
     LOG(INFO) << "instance: " << settings_.instance << " serves";
     instant next_tick = Now();
-    while (stop == 0) {
+    while (!IsOver(stop)) {
       Poll(next_tick);
       callers_.Receive(kDatagramsPerTurn, [this](const caller_address& from,
                                                  std::string_view bytes) {
@@ -105,19 +119,56 @@
           [this](const target_connection& from, const std::string& bytes) {
             HandleTargetMessage(from, bytes);
           });
-      peers_.Receive([this](wire::peer_message message) {
-        Dispatch(peer_spoke{std::move(message)});
-      });
+      peers_.Receive(
+          [this](wire::peer_message message) {
+            Dispatch(peer_spoke{std::move(message)});
+          },
+          [this](const std::string& fault) { Drop("peer", fault); });
       HandleAdmin();
       if (Now() >= next_tick) {
         Dispatch(node_tick{});
+        decisions_.Tick(Now());
         next_tick = Now() + kTickInterval;
       }
     }
-    LOG(INFO) << "instance: " << settings_.instance << " stops";
+    CloseAdmin();
+    LOG(INFO) << "instance: " << settings_.instance << " ends";
   }
 
  private:
+  static void WriteLine(const std::string& part, const std::string& text) {
+    LOG(INFO) << part << ": " << text;
+  }
+
+  // The first signal starts a graceful stop, the second one ends at once.
+  bool IsOver(const std::atomic<int>& stop) {
+    if (stop == 0) return false;
+    if (!stop_until_) {
+      stop_until_ = Now() + settings_.stop_within;
+      LOG(INFO) << "instance: " << settings_.instance << " stops within "
+                << settings_.stop_within.count() << " ms";
+    }
+    return stop > 1 || Now() >= *stop_until_ || IsIdle();
+  }
+
+  // Nothing of callers or operators is in progress here.
+  bool IsIdle() const {
+    return waiting_.empty() &&
+           std::all_of(node_.shards().begin(), node_.shards().end(),
+                       [](const auto& entry) {
+                         return entry.second.Load().busy_slots == 0;
+                       });
+  }
+
+  // Nobody waits for an answer that can't come any more.
+  void CloseAdmin() {
+    for (auto& [id, answer] : waiting_) {
+      answer(DescribeOutcome(ticket_undecided{}));
+    }
+    waiting_.clear();
+    admin_queue_.Close();
+  }
+
   std::optional<instance_error> OpenLog() {
     std::error_code failed;
     std::filesystem::create_directories(settings_.data_folder, failed);
@@ -162,11 +213,10 @@
   void HandleDatagram(const caller_address& from, std::string_view bytes) {
     auto parsed = ParseCallerPacket(bytes);
     if (const auto* error = std::get_if<wire_error>(&parsed)) {
-      ++bad_datagrams_;
-      LOG_EVERY_N(WARNING, 1000)
-          << "entry: packet dropped, " << error->field << " " << error->reason;
+      Drop("caller", error->field + " " + error->reason);
       return;
     }
+    metrics_.CountPacket();
     Dispatch(caller_spoke{from, std::get<caller_packet>(std::move(parsed))});
   }
 
@@ -174,8 +224,7 @@
                            const std::string& bytes) {
     auto parsed = ParseTargetMessage(bytes);
     if (const auto* error = std::get_if<wire_error>(&parsed)) {
-      LOG_EVERY_N(WARNING, 1000) << "target: message dropped, " << error->field
-                                 << " " << error->reason;
+      Drop("target", error->field + " " + error->reason);
       return;
     }
     auto& body = std::get<target_body>(parsed);
@@ -191,13 +240,9 @@
     eventfd_read(wake_file_, &ignored);
     for (admin_queue::item& item : admin_queue_.TakeAll()) {
       const http_request& request = item.request;
-      if (request.method == "GET" && request.path == "/v1/status") {
-        item.answer(DescribeStatus(node_, Now()));
-      } else if (request.method == "GET" && request.path == "/v1/targets") {
-        item.answer(DescribeTargets(node_));
-      } else if (request.method == "GET" && request.path == "/v1/tickets") {
-        item.answer(DescribeTickets(node_));
-      } else if (request.method == "POST" && request.path == "/v1/tickets") {
+      if (request.method == "GET") {
+        item.answer(AnswerQuery(View(), request.path));
+      } else if (request.path == "/v1/tickets") {
         SubmitTicket(std::move(item));
       } else {
         item.answer({404, "{\"error\":\"no such path\"}\n"});
@@ -205,6 +250,23 @@
     }
   }
 
+  admin_view View() const {
+    return {.state = node_,
+            .decisions = decisions_,
+            .counts = metrics_,
+            .totals = {.peer_bytes_sent = peers_.sent_bytes(),
+                       .peer_bytes_received = peers_.received_bytes(),
+                       .decisions_logged = decisions_.written(),
+                       .decisions_left_out = decisions_.left_out()},
+            .now = Now(),
+            .stopping = stop_until_.has_value()};
+  }
+
+  void Drop(const std::string& source, const std::string& fault) {
+    metrics_.CountDropped(source, fault);
+    LOG_EVERY_N(WARNING, 1000) << source << ": message dropped, " << fault;
+  }
+
   void SubmitTicket(admin_queue::item item) {
     auto parsed = ParseTicket(item.request.body);
     if (auto* errors = std::get_if<std::vector<ticket_error>>(&parsed)) {
@@ -227,6 +289,7 @@
   }
 
   void Carry(const send_answer& effect) {
+    metrics_.CountAnswer(effect.answer);
     for (const std::string& datagram : EncodeAnswer(effect.answer)) {
       callers_.Send(effect.to, datagram);
     }
@@ -255,9 +318,7 @@
     it->second(DescribeOutcome(effect.outcome));
     waiting_.erase(it);
   }
-  void Carry(const log_line& effect) {
-    LOG(INFO) << effect.part << ": " << effect.text;
-  }
+  void Carry(log_line& effect) { decisions_.Add(Now(), std::move(effect)); }
 
   const settings& settings_;
   zmq::context_t context_;
@@ -271,7 +332,9 @@
   std::unique_ptr<admin_server> admin_;
   std::map<admin_request, admin_queue::answer_function> waiting_;
   std::uint64_t admin_requests_ = 0;
-  std::uint64_t bad_datagrams_ = 0;
+  decision_log decisions_;
+  metrics metrics_;
+  std::optional<instant> stop_until_;  // Set once it has been told to stop.
   std::vector<target_connection> unreachable_;
 };
 
--- /dev/null
+++ b/Source/Runtime/metrics.cc
@@ -0,0 +1,131 @@
+#include "Runtime/metrics.h"
+
+#include <array>
+#include <sstream>
+
+namespace lavendertack {
+namespace {
+
+constexpr std::array<double, 3> kQuantiles{0.5, 0.9, 0.99};
+
+// Writes one metric family after the other.
+class exposition {
+ public:
+  void Family(const std::string& name, const std::string& type,
+              const std::string& help) {
+    name_ = "lavendertack_" + name;
+    out_ << "# HELP " << name_ << " " << help << "\n# TYPE " << name_ << " "
+         << type << "\n";
+  }
+  template <typename Value>
+  void Sample(const std::string& labels, Value value,
+              const std::string& suffix = "") {
+    out_ << name_ << suffix;
+    if (!labels.empty()) out_ << "{" << labels << "}";
+    out_ << " " << value << "\n";
+  }
+  template <typename Value>
+  void Single(const std::string& name, const std::string& type,
+              const std::string& help, Value value) {
+    Family(name, type, help);
+    Sample("", value);
+  }
+  std::string Text() const { return out_.str(); }
+
+ private:
+  std::ostringstream out_;
+  std::string name_;
+};
+
+std::string Label(const std::string& key, std::string_view value) {
+  std::string text = key + "=\"";
+  for (const char c : value) {
+    if (c == '"' || c == '\\') text += '\\';
+    if (c == '\n') {
+      text += "\\n";
+    } else {
+      text += c;
+    }
+  }
+  return text + "\"";
+}
+
+void ExposeShards(const node& state, exposition* out) {
+  const auto each = [&](const std::string& name, const std::string& help,
+                        auto value) {
+    out->Family(name, "gauge", help);
+    for (const auto& [service, shard] : state.shards()) {
+      out->Sample(Label("service", service.value), value(shard));
+    }
+  };
+  each("flows", "Open flows held by this instance.",
+       [](const service_shard& s) { return s.flow_count(); });
+  each("targets", "Targets known to this instance.",
+       [](const service_shard& s) { return s.targets().size(); });
+  each("ready_slots", "Slots of ready targets.",
+       [](const service_shard& s) { return s.Load().ready_slots; });
+  each("busy_slots", "Slots with a request.",
+       [](const service_shard& s) { return s.Load().busy_slots; });
+}
+
+}  // namespace
+
+void metrics::CountLatency(const class_name& service_class, microseconds took) {
+  namespace tags = boost::accumulators;
+  auto it = latencies_.find(service_class);
+  if (it == latencies_.end()) {
+    it = latencies_
+             .emplace(service_class,
+                      latency_estimate(tags::extended_p_square_probabilities =
+                                           kQuantiles))
+             .first;
+  }
+  it->second(std::chrono::duration<double>(took).count());
+}
+
+std::string metrics::Expose(const node& state,
+                            const metric_totals& totals) const {
+  namespace tags = boost::accumulators;
+  exposition out;
+  out.Single("packets_total", "counter", "Packets of callers.", packets_);
+  out.Family("dropped_total", "counter", "Messages dropped, by fault.");
+  for (const auto& [what, count] : dropped_) {
+    out.Sample(Label("source", what.first) + "," + Label("fault", what.second),
+               count);
+  }
+  out.Family("answers_total", "counter", "Answers to callers, by outcome.");
+  for (const auto& [what, count] : answers_) {
+    out.Sample(Label("outcome", ToString(what.first)) + "," +
+                   Label("reason", ToString(what.second)),
+               count);
+  }
+  out.Family("request_seconds", "summary",
+             "Time from taking a request in to its served answer.");
+  for (const auto& [name, estimate] : latencies_) {
+    const std::string label = Label("class", name.value);
+    for (std::size_t i = 0; i < kQuantiles.size(); ++i) {
+      std::ostringstream quantile;
+      quantile << kQuantiles[i];
+      out.Sample(label + "," + Label("quantile", quantile.str()),
+                 tags::extended_p_square(estimate)[i]);
+    }
+    out.Sample(label, tags::sum(estimate), "_sum");
+    out.Sample(label, tags::count(estimate), "_count");
+  }
+  ExposeShards(state, &out);
+  out.Single("applied_entry", "gauge", "Newest applied entry of the log.",
+             state.agreed().applied().value);
+  out.Single("peer_sent_bytes_total", "counter",
+             "Bytes sent to other instances.", totals.peer_bytes_sent);
+  out.Single("peer_received_bytes_total", "counter",
+             "Bytes received from other instances.",
+             totals.peer_bytes_received);
+  out.Single("decisions_logged_total", "counter", "Decisions in the log.",
+             totals.decisions_logged);
+  out.Single("decisions_left_out_total", "counter",
+             "Decisions that the cap kept out of the log.",
+             totals.decisions_left_out);
+  return out.Text();
+}
+
+}  // namespace lavendertack
--- /dev/null
+++ b/Source/Runtime/metrics.h
@@ -0,0 +1,59 @@
+// Counts and latencies of one instance, in the text exposition format that
+// Prometheus and OpenMetrics collectors read.
+#ifndef LAVENDERTACK_RUNTIME_METRICS_H_
+#define LAVENDERTACK_RUNTIME_METRICS_H_
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "Common/instant.h"
+#include "Node/node.h"
+#include "Traffic/messages.h"
+
+namespace lavendertack {
+
+// Counted by the sockets and the log; read when metrics are asked for.
+struct metric_totals {
+  std::uint64_t peer_bytes_sent = 0;
+  std::uint64_t peer_bytes_received = 0;
+  std::uint64_t decisions_logged = 0;
+  std::uint64_t decisions_left_out = 0;
+};
+
+class metrics {
+ public:
+  void CountPacket() { ++packets_; }
+  // `fault` is a constant text of the parser, so their number is bounded.
+  void CountDropped(const std::string& source, const std::string& fault) {
+    ++dropped_[{source, fault}];
+  }
+  void CountAnswer(const caller_answer& answer) {
+    ++answers_[{answer.kind, answer.reason}];
+  }
+  void CountLatency(const class_name& service_class, microseconds took);
+
+  std::string Expose(const node& state, const metric_totals& totals) const;
+
+ private:
+  using latency_estimate = boost::accumulators::accumulator_set<
+      double,
+      boost::accumulators::stats<boost::accumulators::tag::count,
+                                 boost::accumulators::tag::sum,
+                                 boost::accumulators::tag::extended_p_square>>;
+
+  std::uint64_t packets_ = 0;
+  std::map<std::pair<std::string, std::string>, std::uint64_t> dropped_;
+  std::map<std::pair<answer_kind, refusal_reason>, std::uint64_t> answers_;
+  std::map<class_name, latency_estimate> latencies_;
+};
+
+}  // namespace lavendertack
+
+#endif  // LAVENDERTACK_RUNTIME_METRICS_H_
--- a/Source/Runtime/peer_links.cc
+++ b/Source/Runtime/peer_links.cc
@@ -5,16 +5,17 @@
 
 // Messages waiting in a socket; beyond that they are dropped.
 constexpr int kSocketQueue = 4096;
-// Largest message between instances, in bytes.
-constexpr std::int64_t kMaxMessageBytes = 4 << 20;
+// A sender of still larger messages loses its connection.
+constexpr std::int64_t kCutOffBytes = 4 * kMaxPeerMessageBytes;
 
 }  // namespace
 
 peer_links::peer_links(zmq::context_t* context, const settings& settings)
-    : router_(*context, zmq::socket_type::router) {
+    : deployment_(settings.deployment),
+      router_(*context, zmq::socket_type::router) {
   router_.set(zmq::sockopt::linger, 0);
   router_.set(zmq::sockopt::rcvhwm, kSocketQueue);
-  router_.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
+  router_.set(zmq::sockopt::maxmsgsize, kCutOffBytes);
   for (const instance_settings& instance : settings.instances) {
     const std::string address = "tcp://" + ToString(instance.peer_address);
     if (instance.name == settings.instance) {
@@ -42,8 +43,16 @@
   }
 }
 
+std::optional<std::string> peer_links::FaultOf(
+    const wire::peer_message& message) const {
+  if (message.deployment() != deployment_) return "another deployment";
+  if (!dealers_.contains({message.from()})) return "unknown sender";
+  return std::nullopt;
+}
+
 void peer_links::Receive(
-    const std::function<void(wire::peer_message)>& handle) {
+    const std::function<void(wire::peer_message)>& handle,
+    const std::function<void(const std::string& fault)>& drop) {
   zmq::message_t identity;
   while (router_.recv(identity, zmq::recv_flags::dontwait)) {
     zmq::message_t body;
@@ -52,7 +61,14 @@
     }
     received_bytes_ += body.size();
     wire::peer_message message;
-    if (message.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+    if (body.size() > kMaxPeerMessageBytes) {
+      drop("too large");
+    } else if (!message.ParseFromArray(body.data(),
+                                       static_cast<int>(body.size()))) {
+      drop("malformed");
+    } else if (auto fault = FaultOf(message)) {
+      drop(*fault);
+    } else {
       handle(std::move(message));
     }
   }
--- a/Source/Runtime/peer_links.h
+++ b/Source/Runtime/peer_links.h
@@ -6,6 +6,8 @@
 
 #include <functional>
 #include <map>
+#include <optional>
+#include <string>
 #include <zmq.hpp>
 
 #include "Config/settings.h"
@@ -13,18 +15,27 @@
 
 namespace lavendertack {
 
+// Largest message between instances, in bytes.
+inline constexpr std::size_t kMaxPeerMessageBytes = 4 << 20;
+
 class peer_links {
  public:
   peer_links(zmq::context_t* context, const settings& settings);
 
   void Send(const instance_name& to, const wire::peer_message& message);
-  // Reads every message that is there.
-  void Receive(const std::function<void(wire::peer_message)>& handle);
+  // Reads every message that is there. Those that are malformed, too large, of
+  // another deployment or from an unknown sender go to `drop` with the fault.
+  void Receive(const std::function<void(wire::peer_message)>& handle,
+               const std::function<void(const std::string& fault)>& drop);
   zmq::socket_t& socket() { return router_; }
   std::uint64_t sent_bytes() const { return sent_bytes_; }
   std::uint64_t received_bytes() const { return received_bytes_; }
 
  private:
+  // The fault of a message, or nothing.
+  std::optional<std::string> FaultOf(const wire::peer_message& message) const;
+
+  std::string deployment_;
   zmq::socket_t router_;
   std::map<instance_name, zmq::socket_t> dealers_;
   std::uint64_t sent_bytes_ = 0;
--- /dev/null
+++ b/Source/UnitTests/Runtime/decision_log_test.cc
@@ -0,0 +1,53 @@
+#include "Runtime/decision_log.h"
+
+#include <catch2/catch.hpp>
+
+namespace lavendertack {
+namespace {
+
+TEST_CASE("the log of decisions has a cap that counts") {
+  std::vector<std::string> lines;
+  decision_log log(2,
+                   [&lines](const std::string& part, const std::string& text) {
+                     lines.push_back(part);
+                     lines.back().append(": ").append(text);
+                   });
+  const instant start(seconds(100));
+  for (std::uint64_t i = 1; i <= 5; ++i) {
+    log.Add(start,
+            {"entry", "decision " + std::to_string(i), {i % 2 + 1}, {i}});
+  }
+  REQUIRE(lines ==
+          std::vector<std::string>{"entry: decision 1", "entry: decision 2"});
+
+  SECTION("what was left out is logged when its second is over") {
+    log.Tick(start + milliseconds(999));
+    CHECK(lines.size() == 2);
+    log.Tick(start + seconds(1));
+    CHECK(lines.back() == "log: 3 decisions left out");
+    CHECK(log.left_out() == 3);
+    log.Add(start + seconds(1), {"entry", "later", {9}, {}});
+    CHECK(lines.back() == "entry: later");
+  }
+  SECTION("lines about no single flow aren't capped") {
+    log.Add(start, {"ticket", "in force", {}, {}});
+    CHECK(lines.back() == "ticket: in force");
+  }
+  SECTION("what was left out is still kept to explain a flow") {
+    CHECK(log.Find({2}, std::nullopt).size() == 3);
+    const auto found = log.Find({2}, request_number{5});
+    REQUIRE(found.size() == 1);
+    CHECK(found[0]->line.text == "decision 5");
+  }
+  SECTION("the oldest are forgotten first") {
+    for (std::size_t i = 0; i < kKeptDecisions - 1; ++i) {
+      log.Add(start, {"entry", "other", {7}, {}});
+    }
+    CHECK(log.Find({7}, std::nullopt).size() == kKeptDecisions - 1);
+    CHECK(log.Find({1}, std::nullopt).empty());
+    CHECK(log.Find({2}, std::nullopt).size() == 1);
+  }
+}
+
+}  // namespace
+}  // namespace lavendertack
--- a/Tools/demo.py
+++ b/Tools/demo.py
@@ -1,6 +1,7 @@
 """Runs a deployment as separate processes and checks the outcomes."""
 import json
 import pathlib
+import secrets
 import shutil
 import signal
 import subprocess
@@ -39,11 +40,15 @@
         self.run = ROOT / "build" / "demo" / name
         shutil.rmtree(self.run, ignore_errors=True)
         self.run.mkdir(parents=True)
+        self.token = self.run / "admin-token"
+        self.token.touch(mode=0o600)
+        self.token.write_text(secrets.token_urlsafe(24))
         self.settings = {}
         for path in sorted((ROOT / "Deployments" / name).glob("*-*[ab].json")):
             settings = json.loads(path.read_text())
             if "data_folder" in settings:
                 settings["data_folder"] = str(self.run / settings["instance"])
+            settings["admin_token_file"] = str(self.token)
             own = self.run / path.name
             own.write_text(json.dumps(settings))
             self.settings[settings["instance"]] = (own, settings)
@@ -92,7 +97,8 @@
     def ctl(self, instance, *words):
         admin = self.settings[instance][1]["admin_address"]
         return subprocess.run(
-            [BIN / "lavendertackctl", f"--admin={admin}", *words],
+            [BIN / "lavendertackctl", f"--admin={admin}",
+             f"--token_file={self.token}", *words],
             capture_output=True, text=True, check=False)
 
     def stop(self):
