--- a/Source/Runtime/instance_loop.cc
+++ b/Source/Runtime/instance_loop.cc
@@ -129,6 +129,10 @@
       return instance_error{error->path + ": " + error->reason};
     }
     const auto& found = std::get<opened_log>(opened);
+    if (found.read_only) {
+      return instance_error{found.read_only->path + ": " +
+                            found.read_only->reason};
+    }
     if (found.torn_bytes > 0) {
       LOG(WARNING) << "storage: cut " << found.torn_bytes << " torn bytes";
     }
