--- a/Source/Node/node.cc
+++ b/Source/Node/node.cc
@@ -15,6 +15,8 @@
 constexpr std::uint32_t kMaxHops = 2;
 // When a caller that no instance could serve may come back.
 constexpr milliseconds kComeBack{500};
+// Proposals that may wait for their outcome at a time.
+constexpr std::size_t kMaxProposals = 256;
 // Verdicts kept for proposals that are still being answered.
 constexpr std::size_t kKeptVerdicts = 64;
 
@@ -82,7 +84,8 @@
                  .replicas = Replicas(settings_),
                  .nonce = settings_.incarnation}),
       agreement_(AgreementSettings(settings_),
-                 [this](const std::string& value) { return Admits(value); }) {}
+                 [this](const std::string& value) { return Admits(value); }),
+      relay_(settings_.seed) {}
 
 bool node::Admits(const std::string& value) const {
   const auto entry = DecodeEntry(value);
@@ -165,9 +168,11 @@
   forwarded->set_data_centre(place.data_centre.value);
   forwarded->set_waited_ms(static_cast<std::uint32_t>(waited.count()));
   if (hops == 0 && std::holds_alternative<open_flow>(packet.body)) {
-    Log("entry", "flow " + std::to_string(packet.flow.value) + " of " +
-                     packet.service.value + " sent to " + place.owner.value +
-                     " in " + place.data_centre.value);
+    Log("entry",
+        "flow " + std::to_string(packet.flow.value) + " of " +
+            packet.service.value + " sent to " + place.owner.value + " in " +
+            place.data_centre.value,
+        packet.flow);
   }
   effects_.emplace_back(send_peer{place.owner, std::move(message)});
 }
@@ -175,8 +180,10 @@
 void node::RefusePacket(const caller_packet& packet,
                         const caller_address& caller,
                         const place_refused& refusal) {
-  Log("entry", "flow " + std::to_string(packet.flow.value) + " refused, " +
-                   std::string(ToString(refusal.reason)));
+  Log("entry",
+      "flow " + std::to_string(packet.flow.value) + " refused, " +
+          std::string(ToString(refusal.reason)),
+      packet.flow, RequestOf(packet));
   effects_.emplace_back(send_answer{
       caller, caller_answer{.flow = packet.flow,
                             .request = RequestOf(packet),
@@ -228,6 +235,10 @@
   } else if (message.has_index_report()) {
     catch_up_.Reported(from, message.index_report().nonce(),
                        log_index{message.index_report().applied_index()});
+  } else if (message.has_ticket_ask()) {
+    HandleTicketAsk(from, message.ticket_ask());
+  } else if (message.has_ticket_reply()) {
+    RunRelay(relay_.Receive(now_, message.ticket_reply(), RelayOrder()));
   } else if (message.has_heartbeat()) {
     membership_.Heard(now_, from, message.heartbeat());
     if (message.heartbeat().applied_index() > directory_.applied().value) {
@@ -255,18 +266,75 @@
 }
 
 void node::Handle(const ticket_submitted& event) {
-  if (!settings_.replica) {
-    effects_.emplace_back(answer_ticket{event.request, not_a_replica{}});
+  if (settings_.replica) {
+    ProposeTicket(event.request, event.ticket);
+  } else {
+    RunRelay(relay_.Submit(now_, event.request, event.ticket, RelayOrder()));
+  }
+}
+
+void node::HandleTicketAsk(const instance_name& from,
+                           const wire::ticket_ask& message) {
+  auto ticket = DecodeTicket(message.entry());
+  if (!settings_.replica || !std::holds_alternative<change_ticket>(ticket)) {
     return;
   }
+  if (waiting_.size() >= kMaxProposals) return;  // It asks another replica.
+  ProposeTicket(relayed_ticket{from, message.id()},
+                std::get<change_ticket>(ticket));
+}
+
+void node::ProposeTicket(const ticket_origin& origin,
+                         const change_ticket& ticket) {
   const proposal_id id{++proposals_};
-  waiting_[id] = event.request;
-  proposed_[id] = event.ticket;
-  RunAgreement(propose_entry{id, EncodeTicket(event.ticket)});
+  waiting_[id] = origin;
+  proposed_[id] = ticket;
+  RunAgreement(propose_entry{id, EncodeTicket(ticket)});
+}
+
+void node::AnswerProposal(proposal_id id, const ticket_outcome& outcome) {
+  const auto it = waiting_.find(id);
+  CHECK(it != waiting_.end()) << "a proposal was answered twice";
+  if (const auto* request = std::get_if<admin_request>(&it->second)) {
+    effects_.emplace_back(answer_ticket{*request, outcome});
+  } else {
+    const auto& relayed = std::get<relayed_ticket>(it->second);
+    wire::peer_message message = NewPeerMessage();
+    *message.mutable_ticket_reply() = EncodeOutcome(relayed.id, outcome);
+    effects_.emplace_back(send_peer{relayed.from, std::move(message)});
+  }
+  waiting_.erase(it);
+  proposed_.erase(id);
+}
+
+void node::RunRelay(std::vector<relay_effect> effects) {
+  for (relay_effect& effect : effects) {
+    if (auto* answer = std::get_if<answer_ticket>(&effect)) {
+      effects_.emplace_back(std::move(*answer));
+      continue;
+    }
+    auto& relayed = std::get<relay_ticket>(effect);
+    wire::peer_message message = NewPeerMessage();
+    *message.mutable_ticket_ask() = std::move(relayed.message);
+    effects_.emplace_back(send_peer{relayed.to, std::move(message)});
+  }
+}
+
+std::vector<instance_name> node::RelayOrder() const {
+  std::vector<instance_name> order;
+  for (const auto& [name, m] : membership_.members()) {
+    if (m.replica && name != settings_.self) order.push_back(name);
+  }
+  std::stable_partition(order.begin(), order.end(),
+                        [this](const instance_name& name) {
+                          return membership_.IsAlive(now_, name);
+                        });
+  return order;
 }
 
 void node::Handle(const node_tick&) {
   RunAgreement(agreement_tick{});
+  RunRelay(relay_.Tick(now_, RelayOrder()));
   if (!last_heartbeat_ || now_ - *last_heartbeat_ >= kHeartbeatInterval) {
     last_heartbeat_ = now_;
     SendHeartbeats();
@@ -386,20 +454,11 @@
     } else if (IsInternalProposal(effect)) {
       continue;  // A roster that didn't count is proposed again.
     } else if (auto* done = std::get_if<proposal_chosen>(&effect)) {
-      effects_.emplace_back(
-          answer_ticket{waiting_[done->id], verdicts_.at(done->index)});
-      waiting_.erase(done->id);
-      proposed_.erase(done->id);
+      AnswerProposal(done->id, verdicts_.at(done->index));
     } else if (auto* refused = std::get_if<proposal_refused>(&effect)) {
-      effects_.emplace_back(answer_ticket{
-          waiting_[refused->id], directory_.Check(proposed_.at(refused->id))});
-      waiting_.erase(refused->id);
-      proposed_.erase(refused->id);
+      AnswerProposal(refused->id, directory_.Check(proposed_.at(refused->id)));
     } else if (auto* late = std::get_if<proposal_timed_out>(&effect)) {
-      effects_.emplace_back(
-          answer_ticket{waiting_[late->id], ticket_undecided{}});
-      waiting_.erase(late->id);
-      proposed_.erase(late->id);
+      AnswerProposal(late->id, ticket_undecided{});
     }
   }
 }
@@ -538,8 +597,10 @@
   return message;
 }
 
-void node::Log(std::string part, std::string text) {
-  effects_.emplace_back(log_line{std::move(part), std::move(text)});
+void node::Log(std::string part, std::string text, flow_id flow,
+               request_number request) {
+  effects_.emplace_back(
+      log_line{std::move(part), std::move(text), flow, request});
 }
 
 }  // namespace lavendertack
