--- /dev/null
+++ b/Source/Traffic/answer_parts.cc
@@ -0,0 +1,36 @@
+#include "Traffic/answer_parts.h"
+
+#include <glog/logging.h>
+
+namespace lavendertack {
+
+parts_verdict answer_parts::Add(const run_answer& part) {
+  if (part.parts == 0 || part.part >= part.parts) {
+    return parts_verdict::kIgnored;
+  }
+  if (count_ == 0) {
+    if (part.parts > kMaxAnswerParts) return parts_verdict::kTooLarge;
+    count_ = part.parts;
+    status_ = part.status;
+  }
+  if (part.parts != count_ || part.status != status_) {
+    return parts_verdict::kIgnored;
+  }
+  if (!parts_.emplace(part.part, part.body).second) {
+    return parts_verdict::kIgnored;
+  }
+  bytes_ += part.body.size();
+  if (bytes_ > kMaxWholeAnswerBytes) return parts_verdict::kTooLarge;
+  return parts_.size() == count_ ? parts_verdict::kWhole : parts_verdict::kMore;
+}
+
+std::string answer_parts::TakeBody() {
+  CHECK_EQ(parts_.size(), count_) << "half an answer was taken for a whole one";
+  std::string body;
+  body.reserve(bytes_);
+  for (const auto& [part, bytes] : parts_) body += bytes;
+  parts_.clear();
+  return body;
+}
+
+}  // namespace lavendertack
--- a/Source/Traffic/service_shard.cc
+++ b/Source/Traffic/service_shard.cc
@@ -3,25 +3,41 @@
 #include <glog/logging.h>
 
 #include <algorithm>
-#include <numeric>
+#include <cmath>
 
 namespace lavendertack {
 namespace {
 
-// A target that says nothing for so long gets no more packets.
-constexpr milliseconds kTargetSilence{3000};
-// When a refused caller may come back.
+// When a caller may come back whose refusal has no queue behind it.
 constexpr milliseconds kComeBack{250};
-// Longest queue of one target, in requests.
-constexpr std::size_t kMaxQueue = 64;
-// How long the record of an ended request is kept.
-constexpr seconds kRecordRetention{120};
+// Pause between two looks for silent targets.
+constexpr milliseconds kSilenceCheck{250};
+
+const run_request* RequestIn(const caller_packet& packet) {
+  return std::get_if<run_request>(&packet.body);
+}
+
+request_number NumberIn(const caller_packet& packet) {
+  if (const auto* request = RequestIn(packet)) return request->number;
+  if (const auto* cancel = std::get_if<cancel_request>(&packet.body)) {
+    return cancel->number;
+  }
+  return {};
+}
+
+milliseconds ToMilliseconds(microseconds time) {
+  return std::chrono::duration_cast<milliseconds>(time);
+}
+
+bool WasNotRun(run_status status) {
+  return status == run_status::kShed || status == run_status::kAbandoned;
+}
 
 }  // namespace
 
 service_shard::service_shard(shard_settings settings)
     : settings_(std::move(settings)), random_(settings_.seed) {
-  attempts_ = random_();
+  attempt_numbers_ = random_();
 }
 
 std::vector<shard_effect> service_shard::Reduce(instant now,
@@ -29,6 +45,7 @@
                                                 const shard_event& event) {
   now_ = now;
   view_ = &view;
+  if (!started_) started_ = now;
   effects_.clear();
   if (const auto* packet = std::get_if<shard_packet>(&event)) {
     HandlePacket(*packet);
@@ -38,397 +55,874 @@
     HandleAnswered(*answered);
   } else if (const auto* lost = std::get_if<shard_disconnected>(&event)) {
     HandleDisconnected(lost->connection);
+  } else if (std::holds_alternative<shard_stop_admitting>(event)) {
+    admitting_ = false;
+    for (auto& [name, target] : targets_.all()) {
+      RefuseQueue(&target, refusal_reason::kDraining);
+    }
   } else {
     HandleTick();
   }
+  EraseClosedFlows();
   view_ = nullptr;
   return std::move(effects_);
 }
 
 shard_load service_shard::Load() const {
   shard_load load;
-  for (const auto& [name, target] : targets_) {
+  double bearable = 0;
+  for (const auto& [name, target] : targets_.all()) {
     load.busy_slots += target.busy;
-    if (target.state != target_state::kReady) continue;
-    load.ready_slots += target.slots;
+    if (target.lost || target.state != target_state::kReady) continue;
+    bearable += target.ramp.limit();
     load.free_connections +=
         target.connections - std::min(target.connections, target.flows);
   }
+  load.ready_slots = static_cast<std::uint32_t>(std::ceil(bearable));
   return load;
 }
 
+void service_shard::CheckConsistency() const {
+  std::size_t busy = 0;
+  std::size_t pinned = 0;
+  for (const auto& [name, target] : targets_.all()) {
+    busy += target.busy;
+    pinned += target.flows;
+    CHECK_LE(target.queue.size(), kMaxQueue) << "a queue is too long";
+  }
+  CHECK_EQ(busy, attempts_.size()) << "a busy slot has no sending";
+  CHECK_LE(running_, busy) << "a request runs in no slot";
+  CHECK_LE(pinned, flows_.size()) << "a connection has no flow";
+}
+
+// ---- Callers.
+
 void service_shard::HandlePacket(const shard_packet& event) {
   if (std::holds_alternative<open_flow>(event.packet.body)) {
     HandleOpen(event);
     return;
   }
-  const auto* request = std::get_if<run_request>(&event.packet.body);
   flow_record* flow = FindOrRebuildFlow(event);
   if (flow == nullptr) {
-    if (request != nullptr && !request->repeatable) {
-      Refuse(event, request->number, answer_kind::kOutcomeUnknown,
-             refusal_reason::kOwnerChanged);
-    } else {
-      Refuse(event, request == nullptr ? request_number{} : request->number,
-             answer_kind::kFlowLost, refusal_reason::kTargetLost);
-    }
+    RefuseUnknownFlow(event);
     return;
   }
-  flow->last_packet = now_;
-  flow->caller = event.caller;
-  if (request != nullptr) {
+  flows_.Touch(flow, now_);
+  if (event.packet.token->epoch != settings_.epoch) {
+    flow->suspect = std::max(flow->suspect, NumberIn(event.packet));
+  }
+  if (RequestIn(event.packet) != nullptr) {
     HandleRequest(event, flow);
-  } else if (const auto* cancel =
-                 std::get_if<cancel_request>(&event.packet.body)) {
-    HandleCancel(*cancel, flow);
+  } else if (std::holds_alternative<cancel_request>(event.packet.body)) {
+    HandleCancel(event, flow);
   } else if (std::holds_alternative<close_flow>(event.packet.body)) {
-    CloseFlow(event.packet.flow);
+    HandleClose(flow);
   } else {
-    Answer(event.caller, {.flow = event.packet.flow,
+    Answer(event.caller, {.flow = flow->id,
                           .kind = answer_kind::kAlive,
-                          .token = flow->token});
+                          .token = TokenOf(*flow, event.packet.token)});
   }
 }
 
 void service_shard::HandleOpen(const shard_packet& event) {
   const flow_id id = event.packet.flow;
-  if (view_->out) {
-    Refuse(event, {}, answer_kind::kNotRun, refusal_reason::kDataCentreOut);
+  flow_record* flow = flows_.Find(id);
+  if (view_->out || !admitting_) {
+    RefusePacket(event, answer_kind::kNotRun,
+                 view_->out ? refusal_reason::kDataCentreOut
+                            : refusal_reason::kDraining);
     return;
   }
-  if (auto it = flows_.find(id); it != flows_.end()) {
-    Answer(
-        event.caller,
-        {.flow = id, .kind = answer_kind::kOpened, .token = it->second.token});
+  if ((flow == nullptr && flows_.full()) ||
+      (flow != nullptr && flow->closing)) {
+    RefusePacket(event, answer_kind::kNotRun, refusal_reason::kOverloaded);
     return;
   }
-  target_record* target = ChooseTarget();
-  if (target == nullptr) {
-    Refuse(event, {}, answer_kind::kNotRun, refusal_reason::kNoTarget);
+  if (flow == nullptr) {
+    target_record* target = targets_.Choose();
+    if (target == nullptr) {
+      RefusePacket(event, answer_kind::kNotRun, refusal_reason::kNoTarget);
+      return;
+    }
+    flow = flows_.Open(id, random_(), now_);
+    PinFlow(flow, target);
+    ++counters_.opened;
+    Note("flow " + std::to_string(id.value) + " placed at target " +
+         target->name.value + ", " + std::to_string(target->flows) + " open");
+  }
+  flows_.Touch(flow, now_);
+  if (PlaceFlow(flow, std::nullopt) == nullptr) {
+    RefusePacket(event, answer_kind::kNotRun, refusal_reason::kNoTarget);
     return;
   }
-  const flow_token token{.data_centre = settings_.data_centre,
-                         .target = target->name,
-                         .boot = target->boot,
-                         .epoch = settings_.epoch,
-                         .nonce = random_()};
-  ++target->flows;
-  flows_[id] = {.token = token,
-                .caller = event.caller,
-                .last_packet = now_,
-                .forgotten = {},
-                .requests = {}};
-  Note("flow " + std::to_string(id.value) + " placed at target " +
-       target->name.value + ", " + std::to_string(target->flows) + " open");
-  Answer(event.caller,
-         {.flow = id, .kind = answer_kind::kOpened, .token = token});
-}
-
-service_shard::flow_record* service_shard::FindOrRebuildFlow(
-    const shard_packet& event) {
-  const flow_id id = event.packet.flow;
+  Answer(event.caller, {.flow = id,
+                        .kind = answer_kind::kOpened,
+                        .token = TokenOf(*flow, std::nullopt)});
+}
+
+flow_record* service_shard::FindOrRebuildFlow(const shard_packet& event) {
   const auto& token = event.packet.token;
   if (!token) return nullptr;
-  if (auto it = flows_.find(id); it != flows_.end()) {
-    return it->second.token.nonce == token->nonce ? &it->second : nullptr;
+  if (flow_record* flow = flows_.Find(event.packet.flow)) {
+    return flow->nonce == token->nonce ? flow : nullptr;
   }
   if (token->epoch == settings_.epoch) return nullptr;  // Closed or idle.
-  target_record* target = FindTarget(*token);
-  if (target == nullptr) return nullptr;
-  ++target->flows;
-  flow_record& flow = flows_[id];
-  flow.token = *token;
-  flow.token.epoch = settings_.epoch;
-  Note("flow " + std::to_string(id.value) + " rebuilt at target " +
-       target->name.value);
-  return &flow;
+  if (flows_.full() || std::holds_alternative<close_flow>(event.packet.body)) {
+    return nullptr;
+  }
+  flow_record* flow = flows_.Open(event.packet.flow, token->nonce, now_);
+  const target_record* target = PlaceFlow(flow, token);
+  Note("flow " + std::to_string(flow->id.value) + " rebuilt at " +
+       (target == nullptr ? "no target" : "target " + target->name.value));
+  return flow;
+}
+
+void service_shard::RefuseUnknownFlow(const shard_packet& event) {
+  const auto* request = RequestIn(event.packet);
+  if (request != nullptr && !request->repeatable) {
+    RefusePacket(event, answer_kind::kOutcomeUnknown,
+                 refusal_reason::kOwnerChanged);
+    return;
+  }
+  RefusePacket(event, answer_kind::kFlowLost, refusal_reason::kTargetLost);
+}
+
+// Answers a request whose number is known. False when the number is new.
+bool service_shard::AnswerFromRecord(const shard_packet& event,
+                                     flow_record* flow, request_number number) {
+  if (request_record* record = flows_.FindRecord(flow, number)) {
+    ++counters_.resends;
+    if (record->live) {
+      record->live->caller = event.caller;
+      return true;
+    }
+    Answer(event.caller, AnswerOf({flow, number, record}, event.packet.token));
+    return true;
+  }
+  if (!flow->forgotten.Contains(number)) return false;
+  ++counters_.resends;
+  RefusePacket(event, answer_kind::kOutcomeUnknown, refusal_reason::kTooOld);
+  return true;
+}
+
+// What refuses a new request whatever the load is.
+std::optional<service_shard::outcome> service_shard::CheckRequest(
+    const shard_packet& event, flow_record* flow) const {
+  const auto& request = *RequestIn(event.packet);
+  // An owner of an earlier epoch, whose records are gone, may have sent it.
+  if (!request.repeatable && request.number <= flow->suspect) {
+    return outcome{answer_kind::kOutcomeUnknown, refusal_reason::kOwnerChanged,
+                   ""};
+  }
+  const auto not_run = [](refusal_reason reason) {
+    return outcome{answer_kind::kNotRun, reason, ""};
+  };
+  if (view_->out) return not_run(refusal_reason::kDataCentreOut);
+  if (!admitting_) return not_run(refusal_reason::kDraining);
+  if (!view_->classes.contains(request.service_class)) {
+    return not_run(refusal_reason::kUnknownClass);
+  }
+  if (request.deadline <= event.waited) {
+    return not_run(refusal_reason::kDeadlinePassed);
+  }
+  if (flow->live > kMaxLivePerFlow) {
+    return not_run(refusal_reason::kOverloaded);
+  }
+  return std::nullopt;
 }
 
 void service_shard::HandleRequest(const shard_packet& event,
                                   flow_record* flow) {
-  const auto& request = std::get<run_request>(event.packet.body);
-  const request_key key{event.packet.flow, request.number};
-  if (auto it = flow->requests.find(request.number);
-      it != flow->requests.end()) {
-    it->second.caller = event.caller;
-    if (it->second.step == request_step::kEnded) {
-      Answer(event.caller, it->second.answer);
-    }
+  const auto& request = *RequestIn(event.packet);
+  if (AnswerFromRecord(event, flow, request.number)) return;
+  if (flow->closing) {
+    RefuseUnknownFlow(event);
     return;
   }
-  if (request.number <= flow->forgotten) {
-    Refuse(event, request.number,
-           request.repeatable ? answer_kind::kNotRun
-                              : answer_kind::kOutcomeUnknown,
-           refusal_reason::kTooOld);
+  request_record* record = flows_.AddRecord(flow, request.number);
+  const request_ref ref{flow, request.number, record};
+  live_request& live = *record->live;
+  live.request = request;
+  live.caller = event.caller;
+  live.deadline = now_ + request.deadline - event.waited;
+  deadlines_.Put(live.deadline, ref.key());
+  if (auto refusal = CheckRequest(event, flow)) {
+    EndRequest(ref, std::move(*refusal));
     return;
   }
-  // A token of an earlier epoch: the request may have been sent by the owner
-  // of that time, whose records are gone.
-  if (!request.repeatable && event.packet.token->epoch != settings_.epoch) {
-    Refuse(event, request.number, answer_kind::kOutcomeUnknown,
-           refusal_reason::kOwnerChanged);
+  live.price = view_->classes.at(request.service_class);
+  target_record* target = PlaceFlow(flow, event.packet.token);
+  if (target == nullptr) {
+    EndRequest(ref, {answer_kind::kNotRun, refusal_reason::kNoTarget, ""});
     return;
   }
-  const auto price = view_->classes.find(request.service_class);
-  if (price == view_->classes.end()) {
-    Refuse(event, request.number, answer_kind::kNotRun,
-           refusal_reason::kUnknownClass);
+  load_.Offered(now_, request.service_class, live.price, request.deadline);
+  Admit(ref, target);
+}
+
+void service_shard::HandleCancel(const shard_packet& event, flow_record* flow) {
+  const request_number number = NumberIn(event.packet);
+  request_record* record = flows_.FindRecord(flow, number);
+  if (record == nullptr || !record->live) {
+    AnswerFromRecord(event, flow, number);
     return;
   }
-  target_record* target = FindTarget(flow->token);
-  if (view_->out || target == nullptr) {
-    Refuse(event, request.number, answer_kind::kNotRun,
-           view_->out ? refusal_reason::kDataCentreOut
-                      : refusal_reason::kTargetLost);
+  record->live->caller = event.caller;
+  target_record* target = targets_.Find(record->live->target);
+  CHECK(target != nullptr) << "a live request has no target";
+  if (record->live->running) {
+    Cancel(*target, record->attempt);
     return;
   }
-  auto& queue = queues_[target->name];
-  if (request.deadline <= event.waited || queue.size() >= kMaxQueue) {
-    Refuse(event, request.number, answer_kind::kNotRun,
-           queue.size() >= kMaxQueue ? refusal_reason::kOverloaded
-                                     : refusal_reason::kDeadlinePassed);
+  CHECK(target->queue.Remove({flow->id, number})) << "a request waits nowhere";
+  EndRequest({flow, number, record},
+             {answer_kind::kNotRun, refusal_reason::kCancelled, ""});
+  ServeQueue(target);
+}
+
+void service_shard::HandleClose(flow_record* flow) {
+  flow->closing = true;
+  closed_.push_back(flow->id);
+  std::vector<request_number> live;
+  for (const auto& [number, record] : flow->records) {
+    if (record.live) live.push_back(number);
+  }
+  for (request_number number : live) {
+    const request_ref ref{flow, number, flows_.FindRecord(flow, number)};
+    target_record* target = targets_.Find(ref.record->live->target);
+    if (ref.record->live->running) {
+      Cancel(*target, ref.record->attempt);
+      continue;
+    }
+    CHECK(target->queue.Remove(ref.key())) << "a request waits nowhere";
+    EndRequest(ref, {answer_kind::kNotRun, refusal_reason::kCancelled, ""});
+  }
+}
+
+// The target of a flow's new work. A flow whose target is gone or leaving
+// moves to another one; null when there is none.
+target_record* service_shard::PlaceFlow(
+    flow_record* flow, const std::optional<flow_token>& token) {
+  target_record* target = targets_.Find(flow->target);
+  if (target != nullptr && target->usable()) return target;
+  if (target == nullptr && token) {
+    target_record* named = targets_.FindNamed(token->target);
+    const bool known = named != nullptr && named->boot == token->boot;
+    if (known && named->usable() && named->flows < named->connections) {
+      PinFlow(flow, named);
+      return named;
+    }
+    const bool learning = now_ - *started_ < kLearnTime;
+    if (!known && learning && token->epoch != settings_.epoch) return nullptr;
+  }
+  target_record* next = targets_.Choose(flow->target);
+  if (next == nullptr) return nullptr;
+  if (target != nullptr) {
+    --target->flows;
+    targets_.Reindex(target);
+  }
+  PinFlow(flow, next);
+  ++counters_.moved;
+  Note("flow " + std::to_string(flow->id.value) + " moved to target " +
+       next->name.value);
+  return next;
+}
+
+void service_shard::PinFlow(flow_record* flow, target_record* target) {
+  CHECK_LT(target->flows, target->connections) << "no free connection";
+  ++target->flows;
+  flow->target = target->serial;
+  targets_.Reindex(target);
+}
+
+// ---- Admission.
+
+// Slots of the target that work of this class may use now.
+std::uint32_t service_shard::UsableSlots(const target_record& target,
+                                         const class_name& service_class,
+                                         class_price price) const {
+  const std::uint32_t slots = target.ramp.Concurrency();
+  if (slots < 2) return slots;
+  return load_.MustLeaveSlot(now_, service_class, price) ? slots - 1 : slots;
+}
+
+// Time until a request starts that has `ahead` others before it.
+microseconds service_shard::EstimateWait(const target_record& target,
+                                         std::size_t ahead,
+                                         double usable) const {
+  const bool slot_free = static_cast<double>(target.busy) < std::ceil(usable);
+  const double turns = static_cast<double>(ahead) + (slot_free ? 0.0 : 1.0);
+  const auto recent = static_cast<double>(target.ramp.RecentTime().count());
+  const auto wait =
+      microseconds(static_cast<std::int64_t>(turns * recent / usable));
+  return std::max(wait, target.ramp.NextStart() - now_);
+}
+
+bool service_shard::MeetsDeadline(const live_request& live,
+                                  const target_record& target) const {
+  // Only answers can show that a slow target has recovered.
+  if (target.busy == 0 && target.queue.empty()) {
+    return target.ramp.NextStart() < live.deadline;
+  }
+  const auto usable =
+      UsableSlots(target, live.request.service_class, live.price);
+  const microseconds wait =
+      EstimateWait(target, target.queue.CountAhead(live.price),
+                   std::min<double>(usable, target.ramp.limit()));
+  return now_ + wait + target.ramp.RecentTime() <= live.deadline;
+}
+
+void service_shard::Admit(const request_ref& request, target_record* target) {
+  live_request& live = *request.record->live;
+  CHECK(!live.running) << "a running request was queued";
+  live.target = target->serial;
+  const outcome refusal{answer_kind::kNotRun, refusal_reason::kOverloaded, ""};
+  if (!MeetsDeadline(live, *target)) {
+    EndRequest(request, refusal);
     return;
   }
-  request_record& record = flow->requests[request.number];
-  record.repeatable = request.repeatable;
-  record.caller = event.caller;
-  record.request = request;
-  record.deadline = now_ + request.deadline - event.waited;
-  queue.emplace(queue_key{price->second, ++arrivals_}, key);
+  if (target->queue.full()) {
+    const class_queue::entry last = target->queue.entries().back();
+    if (last.price >= live.price) {
+      EndRequest(request, refusal);
+      return;
+    }
+    target->queue.Take(target->queue.size() - 1);
+    ++counters_.displaced;
+    EndRequest(Find(last.key), refusal);
+  }
+  target->queue.Insert({live.price, request.key(), live.deadline});
   ServeQueue(target);
 }
 
-void service_shard::HandleCancel(const cancel_request& cancel,
-                                 flow_record* flow) {
-  auto it = flow->requests.find(cancel.number);
-  if (it == flow->requests.end()) return;
-  request_record& record = it->second;
-  if (record.step != request_step::kRunning) return;
-  if (const target_record* target = FindTarget(flow->token)) {
-    effects_.emplace_back(send_cancel{target->connection, record.attempt});
+void service_shard::ServeQueue(target_record* target) {
+  if (view_->out || !admitting_) {
+    RefuseQueue(target, view_->out ? refusal_reason::kDataCentreOut
+                                   : refusal_reason::kDraining);
+  }
+  while (!target->queue.empty()) {
+    const class_queue::entry first = target->queue.entries().front();
+    const request_ref request = Find(first.key);
+    if (first.deadline <= now_) {
+      target->queue.Take(0);
+      EndRequest(request,
+                 {answer_kind::kNotRun, refusal_reason::kDeadlinePassed, ""});
+      continue;
+    }
+    const auto& service_class = request.record->live->request.service_class;
+    if (target->busy >= UsableSlots(*target, service_class, first.price)) {
+      break;
+    }
+    if (const instant next = target->ramp.NextStart(); next > now_) {
+      if (!target->wakeup || *target->wakeup > next) {
+        target->wakeup = next;
+        wakeups_.Put(next, target->serial);
+      }
+      break;
+    }
+    target->queue.Take(0);
+    Run(request, target);
   }
+  RefuseHopeless(target);
+}
+
+// Refuses at once what waits and can't start before its deadline any more.
+void service_shard::RefuseHopeless(target_record* target) {
+  const double usable = target->ramp.limit();
+  for (std::size_t place = target->queue.size(); place-- > 0;) {
+    if (place == 0 && target->busy == 0) break;  // It is the next to start.
+    const class_queue::entry waiting = target->queue.entries()[place];
+    const microseconds wait = EstimateWait(*target, place, usable);
+    if (now_ + wait <= waiting.deadline) continue;
+    target->queue.Take(place);
+    ++counters_.displaced;
+    EndRequest(Find(waiting.key),
+               {answer_kind::kNotRun, refusal_reason::kOverloaded, ""});
+  }
+}
+
+void service_shard::RefuseQueue(target_record* target, refusal_reason reason) {
+  while (!target->queue.empty()) {
+    const class_queue::entry last =
+        target->queue.Take(target->queue.size() - 1);
+    EndRequest(Find(last.key), {answer_kind::kNotRun, reason, ""});
+  }
+}
+
+void service_shard::Run(const request_ref& request, target_record* target) {
+  live_request& live = *request.record->live;
+  CHECK_LT(target->busy, target->slots) << "no free slot";
+  CHECK_LT(target->busy, target->ramp.Concurrency()) << "above the limit";
+  CHECK(target->usable()) << "new work for a target that is gone";
+  CHECK(!live.may_have_run) << "a request was sent twice";
+  CHECK(live.sends == 0 || live.request.repeatable)
+      << "a request that may not be repeated was sent again";
+  ++target->busy;
+  ++running_;
+  ++counters_.sent;
+  ++live.sends;
+  live.running = true;
+  live.may_have_run = true;
+  live.target = target->serial;
+  const attempt_id id{++attempt_numbers_};
+  request.record->attempt = id;
+  attempts_[id] = {.key = request.key(),
+                   .nonce = request.flow->nonce,
+                   .target = target->serial,
+                   .service_class = live.request.service_class,
+                   .started = now_,
+                   .parts = {}};
+  target->ramp.Started(now_);
+  overdue_.Put(now_ + target->ramp.OverdueAfter(), id);
+  effects_.emplace_back(
+      send_run{target->connection,
+               run_order{.attempt = id,
+                         .flow = request.flow->id,
+                         .request = request.number,
+                         .service = settings_.service,
+                         .target = target->name,
+                         .boot = target->boot,
+                         .service_class = live.request.service_class,
+                         .repeatable = live.request.repeatable,
+                         .remaining = ToMilliseconds(live.deadline - now_),
+                         .epoch = settings_.epoch,
+                         .body = live.request.body}});
+}
+
+// Sends repeatable work to another target that has a slot free right now, so
+// that one target's trouble is never queued at the next.
+bool service_shard::RetryElsewhere(const request_ref& request,
+                                   target_serial except) {
+  live_request& live = *request.record->live;
+  if (!live.request.repeatable || live.sends >= kMaxSends) return false;
+  if (view_->out || !admitting_ || request.flow->closing) return false;
+  target_record* target =
+      targets_.ChooseFitting([&](const target_record& other) {
+        return other.serial != except && other.queue.empty() &&
+               other.ramp.NextStart() <= now_ &&
+               other.busy <
+                   UsableSlots(other, live.request.service_class, live.price) &&
+               now_ + other.ramp.RecentTime() <= live.deadline;
+      });
+  if (target == nullptr) return false;
+  if (!load_.TakeRetry(live.request.service_class)) return false;
+  ++counters_.retried;
+  live.running = false;
+  live.earlier_unknown |= live.may_have_run;
+  live.may_have_run = false;
+  Note("flow " + std::to_string(request.flow->id.value) + " request " +
+       std::to_string(request.number.value) + " retried at target " +
+       target->name.value);
+  Run(request, target);
+  return true;
 }
 
+// ---- Targets.
+
 void service_shard::HandleAnnounced(const shard_announced& event) {
   const announcement& what = event.what;
   CHECK(what.service == settings_.service)
       << "an announcement reached the shard of another service";
-  auto it = targets_.find(what.target);
-  if (it != targets_.end() && it->second.boot != what.boot) {
-    LoseTarget(what.target);
-    it = targets_.end();
+  target_record* target = targets_.FindNamed(what.target);
+  std::vector<boot_id> past_boots;
+  if (target != nullptr && target->boot != what.boot) {
+    past_boots = target->past_boots;
+    // An earlier life's announcement, come late.
+    if (std::find(past_boots.begin(), past_boots.end(), what.boot) !=
+        past_boots.end()) {
+      return;
+    }
+    past_boots.insert(past_boots.begin(), target->boot);
+    if (past_boots.size() > kMaxPastBoots) past_boots.pop_back();
+    LoseTarget(target);
+    EraseTarget(target);
+    target = nullptr;
   }
-  if (it == targets_.end()) {
-    it = targets_.emplace(what.target, target_record{}).first;
+  if (target == nullptr) {
+    const auto baseline = targets_.WarmBaseline();
+    target = targets_.Add(what.target);
+    if (target == nullptr) return;
+    target->boot = what.boot;
+    target->past_boots = std::move(past_boots);
+    target->ramp = target_ramp(baseline);
     Note("target " + what.target.value + " joined, " +
          std::string(ToString(what.state)));
-  } else if (it->second.state != what.state) {
+  } else if (target->state != what.state || target->lost) {
     Note("target " + what.target.value + " is now " +
          std::string(ToString(what.state)));
   }
-  target_record& target = it->second;
-  target.name = what.target;
-  target.boot = what.boot;
-  target.connection = event.connection;
-  target.state = what.state;
-  target.slots = what.slots;
-  target.connections = what.connections;
-  target.last_heard = now_;
-  ServeQueue(&target);
+  if (target->lost || what.state == target_state::kCold) {
+    target->ramp.ClaimedCold(now_);
+  }
+  target->lost = false;
+  target->connection = event.connection;
+  target->state = what.state;
+  target->slots = std::max(what.slots, 1U);
+  target->connections = what.connections;
+  target->last_heard = now_;
+  target->ramp.SetSlots(what.slots);
+  targets_.Reindex(target);
+  if (what.state == target_state::kLeaving) {
+    MoveQueue(target);
+  } else {
+    ServeQueue(target);
+  }
+}
+
+// What waits for a leaving target was never sent and waits elsewhere.
+void service_shard::MoveQueue(target_record* target) {
+  while (!target->queue.empty()) {
+    const class_queue::entry first = target->queue.Take(0);
+    const request_ref request = Find(first.key);
+    if (target_record* next = PlaceFlow(request.flow, std::nullopt)) {
+      Admit(request, next);
+      continue;
+    }
+    EndRequest(request, {answer_kind::kNotRun, refusal_reason::kNoTarget, ""});
+  }
 }
 
 void service_shard::HandleAnswered(const shard_answered& event) {
-  const run_answer& answer = event.answer;
-  auto running = running_.find(answer.attempt);
-  if (running == running_.end()) return;  // Late, duplicated or crossed.
-  const request_key key = running->second;
-  auto flow = flows_.find(key.flow);
-  CHECK(flow != flows_.end()) << "a running request has no flow";
-  request_record& record = flow->second.requests.at(key.number);
-  target_record* target = FindTarget(flow->second.token);
-  if (target == nullptr || target->connection != event.connection) return;
-  record.parts.resize(answer.parts);
-  if (answer.part >= record.parts.size()) return;
-  record.parts[answer.part] = answer.body;
-  record.parts_seen.insert(answer.part);
-  if (record.parts_seen.size() < record.parts.size()) return;
-  running_.erase(running);
-  CHECK_GT(target->busy, 0U) << "a slot was freed twice";
-  --target->busy;
-  std::string body =
-      std::accumulate(record.parts.begin(), record.parts.end(), std::string());
-  if (answer.status == run_status::kShed ||
-      answer.status == run_status::kAbandoned) {
-    EndRequest(key, &record, answer_kind::kNotRun,
-               answer.status == run_status::kShed ? refusal_reason::kTargetShed
-                                                  : refusal_reason::kCancelled,
-               "");
+  auto attempt = attempts_.find(event.answer.attempt);
+  if (attempt == attempts_.end()) {
+    ++counters_.dropped;  // Late, duplicated or crossed.
+    return;
+  }
+  const target_record* target = targets_.Find(attempt->second.target);
+  CHECK(target != nullptr) << "a sending has no target";
+  if (target->connection != event.connection) {
+    ++counters_.dropped;
+    return;
+  }
+  const parts_verdict verdict = attempt->second.parts.Add(event.answer);
+  if (verdict == parts_verdict::kIgnored) ++counters_.dropped;
+  if (verdict == parts_verdict::kWhole || verdict == parts_verdict::kTooLarge) {
+    FinishAttempt(attempt, verdict);
+  }
+}
+
+void service_shard::FinishAttempt(attempt_iterator attempt,
+                                  parts_verdict verdict) {
+  const attempt_id id = attempt->first;
+  attempt_record done = std::move(attempt->second);
+  target_record* target = targets_.Find(done.target);
+  const bool was_warm = target->ramp.warm();
+  const microseconds took = now_ - done.started;
+  if (done.parts.status() == run_status::kShed) {
+    target->ramp.Shed(now_);
+  } else if (done.parts.status() != run_status::kAbandoned) {
+    target->ramp.Answered(now_, took, done.overdue);
+    if (!done.given_up) load_.Served(done.service_class, took);
+  }
+  if (was_warm && !target->ramp.warm()) {
+    ++counters_.collapses;
+    Note("target " + target->name.value + " turned cold");
+  }
+  FreeSlot(attempt);
+  if (done.given_up) {
+    UpdateEnded(done, id, verdict, &done.parts);
   } else {
-    EndRequest(key, &record, answer_kind::kServed, refusal_reason::kNone,
-               std::move(body));
+    FinishRequest(Find(done.key), done.target, verdict, &done.parts);
   }
+  targets_.Reindex(target);
   ServeQueue(target);
 }
 
-void service_shard::HandleDisconnected(const target_connection& connection) {
-  for (const auto& [name, target] : targets_) {
-    if (target.connection != connection) continue;
-    LoseTarget(target_name{name});
+void service_shard::FinishRequest(const request_ref& request,
+                                  target_serial target, parts_verdict verdict,
+                                  answer_parts* parts) {
+  if (verdict == parts_verdict::kTooLarge) {
+    EndRequest(request,
+               {answer_kind::kOutcomeUnknown, refusal_reason::kTooLarge, ""});
+    return;
+  }
+  if (!WasNotRun(parts->status())) {
+    EndRequest(request, {answer_kind::kServed, refusal_reason::kNone,
+                         parts->TakeBody()});
     return;
   }
+  live_request& live = *request.record->live;
+  live.may_have_run = false;
+  const bool shed = parts->status() == run_status::kShed;
+  if (shed && RetryElsewhere(request, target)) return;
+  EndRequest(
+      request,
+      {live.earlier_unknown ? answer_kind::kOutcomeUnknown
+                            : answer_kind::kNotRun,
+       shed ? refusal_reason::kTargetShed : refusal_reason::kCancelled, ""});
 }
 
-void service_shard::HandleTick() {
-  std::vector<target_name> silent;
-  for (auto& [name, target] : targets_) {
-    if (now_ - target.last_heard > kTargetSilence) silent.push_back(name);
-  }
-  for (const target_name& name : silent) LoseTarget(name);
-  for (auto& [name, target] : targets_) ServeQueue(&target);
-  std::vector<flow_id> idle;
-  for (auto& [id, flow] : flows_) {
-    if (now_ - flow.last_packet > view_->flow_idle) idle.push_back(id);
-    while (!flow.requests.empty()) {
-      const auto& [number, record] = *flow.requests.begin();
-      if (record.step != request_step::kEnded) break;
-      if (now_ - record.ended < kRecordRetention) break;
-      flow.forgotten = number;
-      flow.requests.erase(flow.requests.begin());
-    }
+// A late answer makes an unknown outcome known. The caller has its answer;
+// a resend gets the new one.
+void service_shard::UpdateEnded(const attempt_record& attempt, attempt_id id,
+                                parts_verdict verdict, answer_parts* parts) {
+  ++counters_.late;
+  if (verdict == parts_verdict::kTooLarge) return;
+  flow_record* flow = flows_.Find(attempt.key.flow);
+  if (flow == nullptr || flow->nonce != attempt.nonce) return;
+  request_record* record = flows_.FindRecord(flow, attempt.key.number);
+  if (record == nullptr || record->live || record->attempt != id) return;
+  if (record->kind != answer_kind::kOutcomeUnknown) return;
+  if (WasNotRun(parts->status())) {
+    if (record->earlier_unknown) return;
+    record->kind = answer_kind::kNotRun;
+    record->come_back = kComeBack;
+  } else {
+    record->kind = answer_kind::kServed;
+    record->reason = refusal_reason::kNone;
+    record->body = parts->TakeBody();
+  }
+  flows_.Ended(flow, attempt.key.number, now_);
+}
+
+void service_shard::FreeSlot(attempt_iterator attempt) {
+  target_record* target = targets_.Find(attempt->second.target);
+  CHECK(target != nullptr) << "a sending has no target";
+  CHECK_GT(target->busy, 0U) << "a slot was freed twice";
+  --target->busy;
+  if (!attempt->second.given_up) --running_;
+  attempts_.erase(attempt);
+}
+
+// The caller gets its answer; the slot stays taken until the target answers.
+void service_shard::GiveUp(attempt_iterator attempt) {
+  CHECK(!attempt->second.given_up) << "a sending was given up twice";
+  attempt->second.given_up = true;
+  --running_;
+  overdue_.Put(now_ + kSlotHold, attempt->first);
+}
+
+void service_shard::HandleDisconnected(const target_connection& connection) {
+  for (auto& [name, target] : targets_.all()) {
+    if (target.connection != connection || target.lost) continue;
+    LoseTarget(&target);
+    return;
   }
-  for (flow_id id : idle) CloseFlow(id);
 }
 
-service_shard::target_record* service_shard::ChooseTarget() {
-  target_record* best = nullptr;
-  for (auto& [name, target] : targets_) {
-    if (target.state != target_state::kReady) continue;
-    if (target.flows >= target.connections) continue;
-    if (best == nullptr ||
-        target.flows + target.busy < best->flows + best->busy) {
-      best = &target;
+// The target can't be reached. It may still run what it was sent.
+void service_shard::LoseTarget(target_record* target) {
+  if (target->lost) return;
+  Note("target " + target->name.value + " lost");
+  target->lost = true;
+  targets_.Reindex(target);
+  RefuseQueue(target, refusal_reason::kTargetLost);
+  std::vector<attempt_id> ids;
+  for (const auto& [id, attempt] : attempts_) {
+    if (attempt.target == target->serial && !attempt.given_up) {
+      ids.push_back(id);
     }
   }
-  return best;
+  std::sort(ids.begin(), ids.end());
+  for (attempt_id id : ids) {
+    const auto attempt = attempts_.find(id);
+    const request_ref request = Find(attempt->second.key);
+    GiveUp(attempt);
+    if (RetryElsewhere(request, target->serial)) continue;
+    EndRequest(request,
+               {answer_kind::kOutcomeUnknown, refusal_reason::kTargetLost, ""});
+  }
 }
 
-service_shard::target_record* service_shard::FindTarget(
-    const flow_token& token) {
-  auto it = targets_.find(token.target);
-  if (it == targets_.end() || it->second.boot != token.boot) return nullptr;
-  return &it->second;
+void service_shard::EraseTarget(target_record* target) {
+  std::vector<attempt_id> ids;
+  for (const auto& [id, attempt] : attempts_) {
+    if (attempt.target == target->serial) ids.push_back(id);
+  }
+  for (attempt_id id : ids) FreeSlot(attempts_.find(id));
+  targets_.Erase(target);
 }
 
-void service_shard::LoseTarget(const target_name& name) {
-  Note("target " + name.value + " lost");
-  std::vector<flow_id> flows;
-  for (auto& [id, flow] : flows_) {
-    if (flow.token.target == name) flows.push_back(id);
+// ---- Time.
+
+void service_shard::HandleTick() {
+  FlushWhenOut();
+  if (now_ >= next_silence_check_) CheckSilence();
+  while (auto key = deadlines_.TakeDue(now_)) HandleDeadline(*key);
+  while (auto id = overdue_.TakeDue(now_)) HandleOverdue(*id);
+  while (auto serial = wakeups_.TakeDue(now_)) {
+    target_record* target = targets_.Find(*serial);
+    if (target == nullptr) continue;
+    target->wakeup.reset();
+    ServeQueue(target);
+  }
+  flows_.ForgetOld(now_);
+  while (flow_record* idle = flows_.FindIdle(now_, view_->flow_idle)) {
+    flows_.Touch(idle, now_);
+    if (idle->live > 0) continue;
+    idle->closing = true;
+    closed_.push_back(idle->id);
+    EraseClosedFlows();
   }
-  for (flow_id id : flows) {
-    for (auto& [number, record] : flows_.at(id).requests) {
-      if (record.step == request_step::kEnded) continue;
-      const bool sent = record.step == request_step::kRunning;
-      if (sent) running_.erase(record.attempt);
-      EndRequest({id, number}, &record,
-                 sent && !record.repeatable ? answer_kind::kOutcomeUnknown
-                                            : answer_kind::kNotRun,
-                 refusal_reason::kTargetLost, "");
+}
+
+void service_shard::FlushWhenOut() {
+  if (view_->out && !was_out_) {
+    for (auto& [name, target] : targets_.all()) {
+      RefuseQueue(&target, refusal_reason::kDataCentreOut);
     }
-    flows_.erase(id);
   }
-  queues_.erase(name);
-  targets_.erase(name);
+  was_out_ = view_->out;
 }
 
-void service_shard::CloseFlow(flow_id id) {
-  auto it = flows_.find(id);
-  if (it == flows_.end()) return;
-  for (const auto& [number, record] : it->second.requests) {
-    if (record.step != request_step::kEnded) return;  // Still at work.
+void service_shard::HandleDeadline(const request_key& key) {
+  const request_ref request = Find(key);
+  const live_request& live = *request.record->live;
+  target_record* target = targets_.Find(live.target);
+  CHECK(target != nullptr) << "a live request has no target";
+  if (!live.running) {
+    CHECK(target->queue.Remove(key)) << "a request waits nowhere";
+    EndRequest(request,
+               {answer_kind::kNotRun, refusal_reason::kDeadlinePassed, ""});
+    return;
   }
-  if (target_record* target = FindTarget(it->second.token)) --target->flows;
-  flows_.erase(it);
+  Cancel(*target, request.record->attempt);
+  GiveUp(attempts_.find(request.record->attempt));
+  EndRequest(request, {answer_kind::kOutcomeUnknown,
+                       refusal_reason::kDeadlinePassed, ""});
 }
 
-void service_shard::ServeQueue(target_record* target) {
-  auto& queue = queues_[target->name];
-  for (auto it = queue.begin(); it != queue.end();) {
-    const request_key key = it->second;
-    request_record& record = flows_.at(key.flow).requests.at(key.number);
-    if (view_->out || record.deadline <= now_) {
-      it = queue.erase(it);
-      EndRequest(key, &record, answer_kind::kNotRun,
-                 view_->out ? refusal_reason::kDataCentreOut
-                            : refusal_reason::kDeadlinePassed,
-                 "");
-      continue;
+void service_shard::HandleOverdue(attempt_id id) {
+  auto attempt = attempts_.find(id);
+  if (attempt == attempts_.end()) return;
+  target_record* target = targets_.Find(attempt->second.target);
+  if (!attempt->second.overdue) {
+    attempt->second.overdue = true;
+    const bool was_warm = target->ramp.warm();
+    target->ramp.Overdue(now_);
+    if (was_warm && !target->ramp.warm()) {
+      ++counters_.collapses;
+      Note("target " + target->name.value + " turned cold");
     }
-    if (target->busy >= target->slots) {
-      ++it;
-      continue;
+  } else {
+    ++counters_.slots_held;
+    Note("target " + target->name.value + " never answered a request");
+    FreeSlot(attempt);
+  }
+  targets_.Reindex(target);
+  ServeQueue(target);
+}
+
+void service_shard::CheckSilence() {
+  next_silence_check_ = now_ + kSilenceCheck;
+  std::vector<target_record*> gone;
+  for (auto& [name, target] : targets_.all()) {
+    const auto silence = now_ - target.last_heard;
+    if (silence > kTargetSilence && !target.lost) LoseTarget(&target);
+    if (silence > kLostRetention) gone.push_back(&target);
+  }
+  for (target_record* target : gone) EraseTarget(target);
+  CheckConsistency();
+}
+
+void service_shard::EraseClosedFlows() {
+  for (flow_id id : closed_) {
+    flow_record* flow = flows_.Find(id);
+    if (flow == nullptr || !flow->closing || flow->live > 0) continue;
+    if (target_record* target = targets_.Find(flow->target)) {
+      CHECK_GT(target->flows, 0U) << "a connection was freed twice";
+      --target->flows;
+      targets_.Reindex(target);
     }
-    it = queue.erase(it);
-    Run(target, key, &record);
+    flows_.Erase(flow);
   }
+  closed_.clear();
 }
 
-void service_shard::Run(target_record* target, const request_key& key,
-                        request_record* record) {
-  CHECK_LT(target->busy, target->slots) << "no free slot";
-  ++target->busy;
-  record->step = request_step::kRunning;
-  record->attempt = {++attempts_};
-  running_[record->attempt] = key;
-  effects_.emplace_back(
-      send_run{target->connection,
-               run_order{.attempt = record->attempt,
-                         .flow = key.flow,
-                         .request = key.number,
-                         .service = settings_.service,
-                         .target = target->name,
-                         .boot = target->boot,
-                         .service_class = record->request.service_class,
-                         .repeatable = record->repeatable,
-                         .remaining = std::chrono::duration_cast<milliseconds>(
-                             record->deadline - now_),
-                         .epoch = settings_.epoch,
-                         .body = record->request.body}});
-}
-
-void service_shard::EndRequest(const request_key& key, request_record* record,
-                               answer_kind kind, refusal_reason reason,
-                               std::string body) {
-  CHECK(record->step != request_step::kEnded) << "a request ended twice";
-  record->step = request_step::kEnded;
-  record->ended = now_;
-  record->request.body.clear();
-  record->parts.clear();
-  record->answer = {
-      .flow = key.flow,
-      .request = key.number,
-      .kind = kind,
-      .reason = reason,
-      .come_back = kind == answer_kind::kNotRun ? kComeBack : milliseconds(0),
-      .token = flows_.at(key.flow).token,
-      .body = std::move(body)};
-  Answer(record->caller, record->answer);
-}
-
-void service_shard::Refuse(const shard_packet& event, request_number number,
-                           answer_kind kind, refusal_reason reason) {
+// ---- Answers.
+
+service_shard::request_ref service_shard::Find(const request_key& key) {
+  flow_record* flow = flows_.Find(key.flow);
+  CHECK(flow != nullptr) << "a live request has no flow";
+  request_record* record = flows_.FindRecord(flow, key.number);
+  CHECK(record != nullptr && record->live) << "a live request has no record";
+  return {flow, key.number, record};
+}
+
+void service_shard::EndRequest(const request_ref& request, outcome result) {
+  request_record* record = request.record;
+  CHECK(record->live) << "a request ended twice";
+  const live_request& live = *record->live;
+  const bool may_have_run = live.may_have_run || live.earlier_unknown;
+  CHECK(result.kind != answer_kind::kNotRun || !may_have_run)
+      << "not run was said of a request that may have run";
+  ++counters_.ended[{result.kind, result.reason}];
+  record->kind = result.kind;
+  record->reason = result.reason;
+  record->body = std::move(result.body);
+  record->earlier_unknown = live.earlier_unknown;
+  if (result.kind == answer_kind::kNotRun) {
+    load_.Refused(live.request.service_class);
+    record->come_back = Spread(ComeBack(live));
+    Note("flow " + std::to_string(request.flow->id.value) + " request " +
+         std::to_string(request.number.value) + " refused, " +
+         std::string(ToString(result.reason)));
+  }
+  deadlines_.Remove(live.deadline, request.key());
+  Answer(live.caller, AnswerOf(request, std::nullopt));
+  if (request.flow->closing) closed_.push_back(request.flow->id);
+  flows_.Ended(request.flow, request.number, now_);
+}
+
+caller_answer service_shard::AnswerOf(
+    const request_ref& request, const std::optional<flow_token>& seen) const {
+  const request_record& record = *request.record;
+  return {.flow = request.flow->id,
+          .request = request.number,
+          .kind = record.kind,
+          .reason = record.reason,
+          .come_back = record.come_back,
+          .token = TokenOf(*request.flow, seen),
+          .body = record.body};
+}
+
+// A flow without a target goes on with the place in the token that it `seen`.
+std::optional<flow_token> service_shard::TokenOf(
+    const flow_record& flow, const std::optional<flow_token>& seen) const {
+  flow_token token{.data_centre = settings_.data_centre,
+                   .epoch = settings_.epoch,
+                   .nonce = flow.nonce};
+  if (const target_record* target = targets_.Find(flow.target)) {
+    token.target = target->name;
+    token.boot = target->boot;
+    return token;
+  }
+  if (!seen) return std::nullopt;
+  token.target = seen->target;
+  token.boot = seen->boot;
+  return token;
+}
+
+// When the work ahead of a refused request will be done.
+milliseconds service_shard::ComeBack(const live_request& live) {
+  target_record* target = targets_.Find(live.target);
+  if (target == nullptr || !target->usable()) return kComeBack;
+  const microseconds drain = EstimateWait(
+      *target, target->queue.CountAhead(live.price), target->ramp.limit());
+  return load_.ComeBack(live.request.service_class, drain);
+}
+
+// Callers that were refused together don't come back together.
+milliseconds service_shard::Spread(milliseconds wait) {
+  const auto most = static_cast<std::uint64_t>(wait.count() / 2 + 1);
+  return wait + milliseconds(static_cast<std::int64_t>(random_() % most));
+}
+
+// Refuses a packet that leaves no record.
+void service_shard::RefusePacket(const shard_packet& event, answer_kind kind,
+                                 refusal_reason reason) {
   Note("flow " + std::to_string(event.packet.flow.value) + " request " +
-       std::to_string(number.value) + " refused, " +
+       std::to_string(NumberIn(event.packet).value) + " refused, " +
        std::string(ToString(kind)) + ", " + std::string(ToString(reason)));
-  caller_answer answer{
-      .flow = event.packet.flow,
-      .request = number,
-      .kind = kind,
-      .reason = reason,
-      .come_back = kind == answer_kind::kNotRun ? kComeBack : milliseconds(0)};
-  if (auto it = flows_.find(event.packet.flow); it != flows_.end()) {
-    answer.token = it->second.token;
+  caller_answer answer{.flow = event.packet.flow,
+                       .request = NumberIn(event.packet),
+                       .kind = kind,
+                       .reason = reason};
+  if (kind == answer_kind::kNotRun) answer.come_back = Spread(kComeBack);
+  const flow_record* flow = flows_.Find(event.packet.flow);
+  const auto& token = event.packet.token;
+  if (flow != nullptr && token && token->nonce == flow->nonce) {
+    answer.token = TokenOf(*flow, token);
   }
   Answer(event.caller, std::move(answer));
 }
@@ -437,6 +931,12 @@
   effects_.emplace_back(send_answer{to, std::move(answer)});
 }
 
+// Nothing is sent into a data centre that is taken out, a cancel neither.
+void service_shard::Cancel(const target_record& target, attempt_id attempt) {
+  if (view_->out || target.lost) return;
+  effects_.emplace_back(send_cancel{target.connection, attempt});
+}
+
 void service_shard::Note(std::string text) {
   effects_.emplace_back(note_decision{std::move(text)});
 }
--- a/Source/Traffic/service_shard.h
+++ b/Source/Traffic/service_shard.h
@@ -5,81 +5,33 @@
 #ifndef LAVENDERTACK_TRAFFIC_SERVICE_SHARD_H_
 #define LAVENDERTACK_TRAFFIC_SERVICE_SHARD_H_
 
-#include <functional>
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <unordered_map>
-#include <variant>
 #include <vector>
 
+#include "Traffic/answer_parts.h"
+#include "Traffic/class_load.h"
+#include "Traffic/flow_table.h"
 #include "Traffic/messages.h"
+#include "Traffic/shard_events.h"
+#include "Traffic/target_table.h"
+#include "Traffic/timer_queue.h"
 
 namespace lavendertack {
 
-// Events.
-struct shard_packet {
-  caller_packet packet;
-  caller_address caller;
-  milliseconds waited{0};  // Already spent inside the system.
-};
-struct shard_announced {
-  target_connection connection;
-  announcement what;
-};
-struct shard_answered {
-  target_connection connection;
-  run_answer answer;
-};
-// The connection can't be reached any more.
-struct shard_disconnected {
-  target_connection connection;
-};
-struct shard_tick {};
-using shard_event = std::variant<shard_packet, shard_announced, shard_answered,
-                                 shard_disconnected, shard_tick>;
-
-// Effects.
-struct send_answer {
-  caller_address to;
-  caller_answer answer;
-};
-struct send_run {
-  target_connection to;
-  run_order order;
-};
-struct send_cancel {
-  target_connection to;
-  attempt_id attempt;
-};
-// One routing or placement decision, for the log.
-struct note_decision {
-  std::string text;
-};
-using shard_effect =
-    std::variant<send_answer, send_run, send_cancel, note_decision>;
-
-// What the shard needs of the agreed state.
-struct shard_view {
-  bool out = false;                           // The data centre is taken out.
-  std::map<class_name, class_price> classes;  // Of this service.
-  seconds flow_idle{900};
-};
-
-struct shard_settings {
-  service_name service;
-  data_centre_name data_centre;
-  owner_epoch epoch;
-  std::uint64_t seed = 0;
-};
-
-struct shard_load {
-  std::uint32_t ready_slots = 0;
-  std::uint32_t busy_slots = 0;
-  std::uint32_t free_connections = 0;
-};
+// A target that says nothing for so long gets no more packets.
+inline constexpr milliseconds kTargetSilence{3000};
+// A silent target's running requests are remembered for so long.
+inline constexpr seconds kLostRetention{60};
+// The slot of a request that the target never answers is free again after it.
+inline constexpr seconds kSlotHold{60};
+// A new shard waits so long for a flow's own target to announce itself.
+inline constexpr milliseconds kLearnTime{1000};
+// Most sendings of one repeatable request.
+inline constexpr std::uint32_t kMaxSends = 3;
 
 class service_shard {
  public:
@@ -89,92 +41,130 @@
                                    const shard_event& event);
 
   shard_load Load() const;
+  const shard_counters& counters() const { return counters_; }
   std::size_t flow_count() const { return flows_.size(); }
-
-  struct target_record {
-    target_name name;
-    boot_id boot;
-    target_connection connection;
-    target_state state = target_state::kCold;
-    std::uint32_t slots = 0;
-    std::uint32_t connections = 0;
-    std::uint32_t busy = 0;   // Requests sent and not yet ended.
-    std::uint32_t flows = 0;  // Open flows.
-    instant last_heard;
-  };
+  // Requests sent to targets whose callers still wait. A shard that has
+  // stopped admitting may be dropped when there are none.
+  std::size_t running_requests() const { return running_; }
+  bool admitting() const { return admitting_; }
   const std::map<target_name, target_record>& targets() const {
-    return targets_;
+    return targets_.all();
   }
+  // Fails when the parts contradict each other. Runs in O(targets).
+  void CheckConsistency() const;
 
  private:
-  enum class request_step { kQueued, kRunning, kEnded };
-
-  struct request_record {
-    request_step step = request_step::kQueued;
-    bool repeatable = false;
-    caller_address caller;
-    run_request request;
-    instant deadline;
-    attempt_id attempt;
-    std::vector<std::string> parts;  // Answer parts so far.
-    std::set<std::uint32_t> parts_seen;
-    caller_answer answer;  // Once ended.
-    instant ended;
-  };
-
-  struct flow_record {
-    flow_token token;
-    caller_address caller;
-    instant last_packet;
-    request_number forgotten;  // Records up to here are no longer kept.
-    std::map<request_number, request_record> requests;
-  };
-
-  // Order in a target's queue: price, then arrival.
-  struct queue_key {
-    class_price price;
-    std::uint64_t arrival = 0;
-    friend bool operator<(const queue_key& a, const queue_key& b) {
-      if (a.price != b.price) return a.price > b.price;
-      return a.arrival < b.arrival;
-    }
+  // One sending of a request.
+  struct attempt_record {
+    request_key key;
+    std::uint64_t nonce = 0;  // Of the flow.
+    target_serial target;
+    class_name service_class;
+    instant started;
+    bool overdue = false;
+    bool given_up = false;  // The caller has its answer already.
+    answer_parts parts;
   };
-  struct request_key {
-    flow_id flow;
+  using attempt_iterator =
+      std::unordered_map<attempt_id, attempt_record>::iterator;
+  // A request with what belongs to it.
+  struct request_ref {
+    flow_record* flow;
     request_number number;
+    request_record* record;
+    request_key key() const { return {flow->id, number}; }
+  };
+  struct outcome {
+    answer_kind kind = answer_kind::kNotRun;
+    refusal_reason reason = refusal_reason::kNone;
+    std::string body;
   };
 
+  // Callers.
   void HandlePacket(const shard_packet& event);
   void HandleOpen(const shard_packet& event);
   void HandleRequest(const shard_packet& event, flow_record* flow);
-  void HandleCancel(const cancel_request& cancel, flow_record* flow);
+  void HandleCancel(const shard_packet& event, flow_record* flow);
+  void HandleClose(flow_record* flow);
+  flow_record* FindOrRebuildFlow(const shard_packet& event);
+  void RefuseUnknownFlow(const shard_packet& event);
+  bool AnswerFromRecord(const shard_packet& event, flow_record* flow,
+                        request_number number);
+  std::optional<outcome> CheckRequest(const shard_packet& event,
+                                      flow_record* flow) const;
+  target_record* PlaceFlow(flow_record* flow,
+                           const std::optional<flow_token>& token);
+  void PinFlow(flow_record* flow, target_record* target);
+
+  // Admission.
+  void Admit(const request_ref& request, target_record* target);
+  bool MeetsDeadline(const live_request& live,
+                     const target_record& target) const;
+  microseconds EstimateWait(const target_record& target, std::size_t ahead,
+                            double usable) const;
+  std::uint32_t UsableSlots(const target_record& target,
+                            const class_name& service_class,
+                            class_price price) const;
+  void ServeQueue(target_record* target);
+  void RefuseHopeless(target_record* target);
+  void RefuseQueue(target_record* target, refusal_reason reason);
+  void Run(const request_ref& request, target_record* target);
+  bool RetryElsewhere(const request_ref& request, target_serial except);
+
+  // Targets.
   void HandleAnnounced(const shard_announced& event);
   void HandleAnswered(const shard_answered& event);
   void HandleDisconnected(const target_connection& connection);
+  void FinishAttempt(attempt_iterator attempt, parts_verdict verdict);
+  void FinishRequest(const request_ref& request, target_serial target,
+                     parts_verdict verdict, answer_parts* parts);
+  void UpdateEnded(const attempt_record& attempt, attempt_id id,
+                   parts_verdict verdict, answer_parts* parts);
+  void FreeSlot(attempt_iterator attempt);
+  void GiveUp(attempt_iterator attempt);
+  void LoseTarget(target_record* target);
+  void EraseTarget(target_record* target);
+  void MoveQueue(target_record* target);
+
+  // Time.
   void HandleTick();
-  flow_record* FindOrRebuildFlow(const shard_packet& event);
-  target_record* ChooseTarget();
-  target_record* FindTarget(const flow_token& token);
-  void LoseTarget(const target_name& name);
-  void CloseFlow(flow_id id);
-  void ServeQueue(target_record* target);
-  void Run(target_record* target, const request_key& key,
-           request_record* record);
-  void EndRequest(const request_key& key, request_record* record,
-                  answer_kind kind, refusal_reason reason, std::string body);
-  void Refuse(const shard_packet& event, request_number number,
-              answer_kind kind, refusal_reason reason);
+  void HandleDeadline(const request_key& key);
+  void HandleOverdue(attempt_id id);
+  void CheckSilence();
+  void EraseClosedFlows();
+  void FlushWhenOut();
+
+  request_ref Find(const request_key& key);
+  void EndRequest(const request_ref& request, outcome result);
+  caller_answer AnswerOf(const request_ref& request,
+                         const std::optional<flow_token>& seen) const;
+  std::optional<flow_token> TokenOf(
+      const flow_record& flow, const std::optional<flow_token>& seen) const;
+  milliseconds ComeBack(const live_request& live);
+  milliseconds Spread(milliseconds wait);
+  void RefusePacket(const shard_packet& event, answer_kind kind,
+                    refusal_reason reason);
   void Answer(const caller_address& to, caller_answer answer);
+  void Cancel(const target_record& target, attempt_id attempt);
   void Note(std::string text);
 
   shard_settings settings_;
   std::mt19937_64 random_;
-  std::uint64_t arrivals_ = 0;
-  std::uint64_t attempts_ = 0;
-  std::map<target_name, target_record> targets_;
-  std::unordered_map<flow_id, flow_record> flows_;
-  std::map<target_name, std::map<queue_key, request_key>> queues_;
-  std::unordered_map<attempt_id, request_key> running_;
+  std::uint64_t attempt_numbers_ = 0;
+  std::optional<instant> started_;
+  bool admitting_ = true;
+  flow_table flows_;
+  target_table targets_;
+  class_load load_;
+  std::unordered_map<attempt_id, attempt_record> attempts_;
+  std::size_t running_ = 0;  // Attempts that aren't given up.
+  timer_queue<request_key> deadlines_;
+  timer_queue<attempt_id> overdue_;
+  timer_queue<target_serial> wakeups_;
+  instant next_silence_check_;
+  bool was_out_ = false;
+  std::vector<flow_id> closed_;  // Flows to look at when the event is done.
+  shard_counters counters_;
   // For the event that is being reduced.
   instant now_;
   const shard_view* view_ = nullptr;
--- /dev/null
+++ b/Source/Traffic/timer_queue.h
@@ -0,0 +1,36 @@
+// Keys ordered by the time at which they are due.
+#ifndef LAVENDERTACK_TRAFFIC_TIMER_QUEUE_H_
+#define LAVENDERTACK_TRAFFIC_TIMER_QUEUE_H_
+
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "Common/instant.h"
+
+namespace lavendertack {
+
+// A key may stand in it at several times. Put and Remove take O(log n).
+template <typename Key>
+class timer_queue {
+ public:
+  void Put(instant when, Key key) { entries_.emplace(when, std::move(key)); }
+  void Remove(instant when, const Key& key) { entries_.erase({when, key}); }
+
+  // Takes out the earliest key that is due at `now`.
+  std::optional<Key> TakeDue(instant now) {
+    if (entries_.empty() || entries_.begin()->first > now) return std::nullopt;
+    Key key = entries_.begin()->second;
+    entries_.erase(entries_.begin());
+    return key;
+  }
+
+  std::size_t size() const { return entries_.size(); }
+
+ private:
+  std::set<std::pair<instant, Key>> entries_;
+};
+
+}  // namespace lavendertack
+
+#endif  // LAVENDERTACK_TRAFFIC_TIMER_QUEUE_H_
