--- a/Tools/lint.py
+++ b/Tools/lint.py
@@ -8,6 +8,9 @@
 import subprocess
 import sys
 
+# Runs of clang-tidy at a time; LINT_JOBS in the environment changes it.
+JOBS = int(os.environ.get("LINT_JOBS", os.cpu_count() or 1))
+
 
 def cache_key(entry, checks):
     """Hash of the translation unit as the compiler sees it."""
@@ -44,7 +47,7 @@
         if not e["file"].endswith(".pb.cc")
     ]
     failed = 0
-    with concurrent.futures.ThreadPoolExecutor(os.cpu_count()) as pool:
+    with concurrent.futures.ThreadPoolExecutor(JOBS) as pool:
         runs = pool.map(lambda e: lint(e, folder, cache, checks), entries)
         for entry, (code, output) in zip(entries, runs):
             if code:
