Node, Ownership: planned leave; hand-over stops the shard's admission

Cause: a closing service was only told that its data centre was out, so a request that waited was refused with the wrong reason, and there was no way to stop an instance without a wait of 6 s for its services.

`leave_requested` makes the node say that it leaves; the replicas take it out of the roster, its shards stop admitting, and `HasLeft` tells when all are handed over. The only instance of a roster just lets its requests end.

--- a/Source/Node/node.cc
+++ b/Source/Node/node.cc
@@ -204,17 +204,13 @@
 
 void node::Handle(const target_answered& event) {
   // The attempt number tells whose it is; other shards drop it.
-  std::vector<service_name> names;
-  for (const auto& [name, shard] : shards_) names.push_back(name);
-  for (const service_name& name : names) {
+  for (const service_name& name : ShardNames()) {
     RunShard(name, shard_answered{event.connection, event.answer});
   }
 }
 
 void node::Handle(const target_unreachable& event) {
-  std::vector<service_name> names;
-  for (const auto& [name, shard] : shards_) names.push_back(name);
-  for (const service_name& name : names) {
+  for (const service_name& name : ShardNames()) {
     RunShard(name, shard_disconnected{event.connection});
   }
 }
@@ -342,9 +338,36 @@
   AskForNewestIndex();
   RunOwnership(ownership_tick{});
   KeepRosters();
+  for (const service_name& name : ShardNames()) RunShard(name, shard_tick{});
+}
+
+void node::Handle(const leave_requested&) {
+  if (leaving_) return;
+  leaving_ = true;
+  Log("placement", "leaving");
+  SendHeartbeats();
+  // Nobody can take over from the only instance of a roster.
+  const roster& mine = rosters_.Find(settings_.data_centre);
+  if (mine.instances != std::set<instance_name>{settings_.self}) return;
+  for (const service_name& name : ShardNames()) {
+    RunShard(name, shard_stop_admitting{});
+  }
+}
+
+bool node::HasLeft() const {
+  if (!leaving_) return false;
+  const roster& mine = rosters_.Find(settings_.data_centre);
+  if (!mine.Contains(settings_.self)) return !ownership_.holds_any();
+  if (mine.instances.size() > 1) return false;
+  return std::all_of(shards_.begin(), shards_.end(), [](const auto& entry) {
+    return entry.second.running_requests() == 0;
+  });
+}
+
+std::vector<service_name> node::ShardNames() const {
   std::vector<service_name> names;
   for (const auto& [name, shard] : shards_) names.push_back(name);
-  for (const service_name& name : names) RunShard(name, shard_tick{});
+  return names;
 }
 
 void node::HandleOwnership(const instance_name& from,
@@ -386,6 +409,7 @@
       StartShard(started->service, started->epoch);
     } else if (const auto* closing = std::get_if<tenure_closing>(&effect)) {
       Log("placement", "handing over service " + closing->service.value);
+      RunShard(closing->service, shard_stop_admitting{});
     } else if (const auto* ended = std::get_if<tenure_ended>(&effect)) {
       Log("placement", "service " + ended->service.value + " handed over");
       shards_.erase(ended->service);
@@ -417,7 +441,7 @@
 
 bool node::IsDrained(const service_name& service) const {
   auto it = shards_.find(service);
-  return it == shards_.end() || it->second.Load().busy_slots == 0;
+  return it == shards_.end() || it->second.running_requests() == 0;
 }
 
 instance_standing node::StandingOf(const instance_name& name) const {
@@ -513,6 +537,7 @@
   heartbeat->set_incarnation(settings_.incarnation);
   heartbeat->set_applied_index(directory_.applied().value);
   heartbeat->set_current(IsCurrent());
+  heartbeat->set_leaving(leaving_);
   heartbeat->set_data_centre(settings_.data_centre.value);
   for (const auto& [name, shard] : shards_) {
     if (!ownership_.MayAct(now_, name)) continue;
@@ -558,9 +583,11 @@
 }
 
 shard_view node::ShardViewFor(const service_name& service) const {
-  // An owner that may not act admits and sends nothing.
-  shard_view view{.out = directory_.IsOut(settings_.data_centre) ||
-                         !ownership_.MayAct(now_, service)};
+  // An owner whose lease ran out admits and sends nothing; one that hands
+  // over has stopped admitting for good.
+  const bool lapsed =
+      !ownership_.MayAct(now_, service) && shards_.at(service).admitting();
+  shard_view view{.out = directory_.IsOut(settings_.data_centre) || lapsed};
   const service_spec* spec = directory_.FindService(service);
   if (spec == nullptr) return view;
   view.flow_idle = spec->flow_idle;
--- a/Source/Node/node.h
+++ b/Source/Node/node.h
@@ -57,10 +57,12 @@
   admin_request request;
   change_ticket ticket;
 };
+// The instance is to stop: its services go to the other instances first.
+struct leave_requested {};
 struct node_tick {};
-using node_event =
-    std::variant<caller_spoke, target_announced, target_answered,
-                 target_unreachable, peer_spoke, ticket_submitted, node_tick>;
+using node_event = std::variant<caller_spoke, target_announced, target_answered,
+                                target_unreachable, peer_spoke,
+                                ticket_submitted, leave_requested, node_tick>;
 
 // Effects, besides those of the parts.
 struct send_peer {
@@ -96,6 +98,9 @@
   const std::map<service_name, service_shard>& shards() const {
     return shards_;
   }
+  // After leave_requested: every service is handed over, or this is the only
+  // instance of its data centre and no request runs any more.
+  bool HasLeft() const;
   const node_settings& settings() const { return settings_; }
 
  private:
@@ -113,6 +118,7 @@
   void Handle(const target_unreachable& event);
   void Handle(const peer_spoke& event);
   void Handle(const ticket_submitted& event);
+  void Handle(const leave_requested& event);
   void Handle(const node_tick& event);
 
   void RoutePacket(const caller_packet& packet, const caller_address& caller,
@@ -133,6 +139,7 @@
   void RunAgreement(const agreement_event& event);
   void ApplyChosen(const entry_chosen& entry);
   void RunShard(const service_name& name, const shard_event& event);
+  std::vector<service_name> ShardNames() const;
   void ApplyRoster(log_index index, const roster_change& change);
   void RunOwnership(const ownership_event& event);
   void HandleOwnership(const instance_name& from,
@@ -172,6 +179,7 @@
   std::map<proposal_id, change_ticket> proposed_;
   std::map<log_index, ticket_verdict> verdicts_;
   std::uint64_t proposals_ = 0;
+  bool leaving_ = false;
   bool roster_applied_ = false;  // By the event that is being reduced.
   std::optional<instant> last_heartbeat_;
   // For the event that is being reduced.
--- a/Source/UnitTests/Ownership/ownership_test.cc
+++ b/Source/UnitTests/Ownership/ownership_test.cc
@@ -150,6 +150,12 @@
     request.set_roster_index(2);
     REQUIRE(grants() == 0);
   }
+  SECTION("after an entry that keeps the owner it grants for that one only") {
+    a.book.Apply({2}, {Place(), {{"a"}, {"b"}, {"c"}}, {1}});
+    REQUIRE(grants() == 0);
+    request.set_roster_index(2);
+    REQUIRE(grants() == 1);
+  }
 }
 
 TEST_CASE("taking over") {
