Node, Wire: no bytes from outside end an instance

Cause: a chosen entry that can't be read reached a CHECK in ApplyChosen, so any process that knew the deployment's name could end every instance; a target's answer could ask for 2^32 parts of memory; names with control characters reached the log; libprotobuf wrote a line for each text that isn't UTF-8.

- Node/peer_check drops messages with unreadable log entries, counted.
- Wire/codec bounds parts (1024) and part bodies (1 MiB), refuses control characters in names.

--- a/Source/Node/node.cc
+++ b/Source/Node/node.cc
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "Directory/log_entry.h"
+#include "Node/peer_check.h"
 #include "Wire/codec.h"
 
 namespace lavendertack {
@@ -174,6 +175,10 @@
   if (message.has_packet()) {
     HandleForwarded(message.packet());
   } else if (message.has_agreement()) {
+    if (!HasReadableEntries(message.agreement())) {
+      ++unreadable_messages_;
+      return;
+    }
     RunAgreement(agreement_received{from, message.agreement()});
   } else if (message.has_ticket_ask()) {
     HandleTicketAsk(from, message.ticket_ask());
--- a/Source/Node/node.h
+++ b/Source/Node/node.h
@@ -88,6 +88,8 @@
     return shards_;
   }
   const node_settings& settings() const { return settings_; }
+  // Messages dropped because of log entries that can't be read.
+  std::uint64_t unreadable_messages() const { return unreadable_messages_; }
 
  private:
   // Who waits for the outcome of a ticket: an operator's request here, or
@@ -144,6 +146,7 @@
   std::map<proposal_id, change_ticket> proposed_;
   std::map<log_index, ticket_verdict> verdicts_;
   std::uint64_t proposals_ = 0;
+  std::uint64_t unreadable_messages_ = 0;
   std::uint64_t shard_epochs_ = 0;
   std::optional<instant> last_heartbeat_;
   // For the event that is being reduced.
--- a/Source/Runtime/instance_loop.cc
+++ b/Source/Runtime/instance_loop.cc
@@ -1,6 +1,7 @@
 #include "Runtime/instance_loop.h"
 
 #include <glog/logging.h>
+#include <google/protobuf/stubs/logging.h>
 #include <sys/eventfd.h>
 #include <sys/random.h>
 #include <unistd.h>
@@ -342,6 +343,9 @@
 
 std::variant<std::monostate, instance_error> RunInstance(
     const settings& settings, const std::atomic<int>& stop) {
+  // The library would log a line for each text that isn't UTF-8; such
+  // messages are counted instead.
+  google::protobuf::SetLogHandler(nullptr);
   try {
     instance_loop loop(settings);
     auto started = loop.Start();
--- a/Source/Runtime/metrics.cc
+++ b/Source/Runtime/metrics.cc
@@ -115,6 +115,9 @@
   ExposeShards(state, &out);
   out.Single("applied_entry", "gauge", "Newest applied entry of the log.",
              state.agreed().applied().value);
+  out.Single("unreadable_messages_total", "counter",
+             "Messages with log entries that can't be read, dropped.",
+             state.unreadable_messages());
   out.Single("peer_sent_bytes_total", "counter",
              "Bytes sent to other instances.", totals.peer_bytes_sent);
   out.Single("peer_received_bytes_total", "counter",
--- a/Source/Wire/codec.cc
+++ b/Source/Wire/codec.cc
@@ -13,6 +13,11 @@
   if (name.size() > kMaxNameBytes) {
     return wire_error{std::move(field), "is longer than 64 bytes"};
   }
+  const bool control = std::any_of(name.begin(), name.end(), [](char c) {
+    return static_cast<unsigned char>(c) < 0x20 || c == 0x7f;
+  });
+  // It would break lines of the log.
+  if (control) return wire_error{std::move(field), "holds a control character"};
   return std::nullopt;
 }
 
@@ -121,6 +126,12 @@
     return wire_error{"answer.status", "is unknown"};
   }
   if (message.parts() == 0) return wire_error{"answer.parts", "is 0"};
+  if (message.parts() > kMaxAnswerParts) {
+    return wire_error{"answer.parts", "is above 1024"};
+  }
+  if (message.body().size() > kMaxAnswerBytes) {
+    return wire_error{"answer.body", "is longer than 1048576 bytes"};
+  }
   if (message.part() >= message.parts()) {
     return wire_error{"answer.part", "is not below parts"};
   }
--- a/Source/Wire/codec.h
+++ b/Source/Wire/codec.h
@@ -19,6 +19,8 @@
 inline constexpr std::size_t kAnswerPartBytes = 1100;
 // Largest whole answer of a target, in bytes.
 inline constexpr std::size_t kMaxAnswerBytes = 1 << 20;
+// Most parts of a target's answer.
+inline constexpr std::uint32_t kMaxAnswerParts = 1024;
 // Longest name of a service, class, target or data centre, in bytes.
 inline constexpr std::size_t kMaxNameBytes = 64;
 // Longest deadline that a caller may ask for.
