--- a/Tools/StandIn/main.cc
+++ b/Tools/StandIn/main.cc
@@ -6,14 +6,16 @@
 #include <iostream>
 
 #include "callers.h"
+#include "load.h"
 #include "target.h"
 
-DEFINE_string(mode, "", "target or callers");
+DEFINE_string(mode, "", "target, callers or load");
 
 int main(int argc, char** argv) {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   if (FLAGS_mode == "target") return standin::RunTarget();
   if (FLAGS_mode == "callers") return standin::RunCallers();
-  std::cerr << "--mode must be target or callers\n";
+  if (FLAGS_mode == "load") return standin::RunLoad();
+  std::cerr << "--mode must be target, callers or load\n";
   return 2;
 }
