Merge traffic; Runtime: decisions by flow, latencies by class, lists of flows

Traffic/answer_parts bounds parts and bytes and ends the request; CodecTest now checks that the answer gets there and is refused.

note_decision carries its flow and request, so the cap and explain work by flow; request_ended feeds the latency quantiles; service_shard::Flows lists open flows for /v1/flows.

--- a/Source/Ctl/verbs.cc
+++ b/Source/Ctl/verbs.cc
@@ -57,7 +57,9 @@
       {"targets", "", 0, 0,
        "Lists the targets known to the instances of --admin.", ShowTargets},
       {"flows", "[SERVICE]", 0, 1,
-       "Lists open flows held by the instances of --admin.", ShowFlows},
+       "Lists open flows held by the instances of --admin, at most 1000 of a "
+       "service.",
+       ShowFlows},
       {"explain", "FLOW [REQUEST]", 1, 2,
        "Shows the latest decisions on a flow or one of its requests: where it "
        "went,\nor why it was refused. Asks each instance of --admin; each "
--- a/Source/Ctl/verbs_view.cc
+++ b/Source/Ctl/verbs_view.cc
@@ -89,7 +89,7 @@
   const std::string path =
       words.empty() ? "/v1/flows" : "/v1/flows/" + words.at(0);
   return Show(context, path, "flows",
-              {"instance", "service", "flow", "target", "requests"});
+              {"instance", "service", "flow", "target", "live_requests"});
 }
 
 int Explain(const verb_context& context, const verb_words& words) {
--- a/Source/Node/node.cc
+++ b/Source/Node/node.cc
@@ -335,7 +335,10 @@
   const shard_view view = ShardViewFor(name);
   for (shard_effect& effect : ShardFor(name).Reduce(now_, view, event)) {
     if (auto* note = std::get_if<note_decision>(&effect)) {
-      Log("shard " + name.value, std::move(note->text));
+      Log("shard " + name.value, std::move(note->text), note->flow,
+          note->request);
+    } else if (auto* ended = std::get_if<request_ended>(&effect)) {
+      effects_.emplace_back(std::move(*ended));
     } else if (auto* answer = std::get_if<send_answer>(&effect)) {
       effects_.emplace_back(std::move(*answer));
     } else if (auto* run = std::get_if<send_run>(&effect)) {
--- a/Source/Node/node.h
+++ b/Source/Node/node.h
@@ -70,8 +70,9 @@
   flow_id flow;            // 0: about no single flow.
   request_number request;  // 0: about the flow itself.
 };
-using node_effect = std::variant<send_answer, send_run, send_cancel, send_peer,
-                                 persist_record, answer_ticket, log_line>;
+using node_effect =
+    std::variant<send_answer, send_run, send_cancel, send_peer, persist_record,
+                 answer_ticket, log_line, request_ended>;
 
 class node {
  public:
--- a/Source/Runtime/admin_api.cc
+++ b/Source/Runtime/admin_api.cc
@@ -87,6 +87,22 @@
   return Json(200, {{"tickets", tickets}});
 }
 
+// Flows of one service, or of all when `only` is empty.
+http_answer DescribeFlows(const node& state, const std::string& only) {
+  json flows = json::array();
+  for (const auto& [service, shard] : state.shards()) {
+    if (!only.empty() && service.value != only) continue;
+    for (const auto& [flow, target, live] : shard.Flows(kMaxListedFlows)) {
+      flows.push_back({{"service", service.value},
+                       {"flow", flow.value},
+                       {"target", target.value},
+                       {"live_requests", live}});
+    }
+  }
+  return Json(200,
+              {{"instance", state.settings().self.value}, {"flows", flows}});
+}
+
 json DescribeTicket(const change_ticket& ticket) {
   json services = json::array();
   for (const service_spec& spec : ticket.services) {
@@ -196,6 +212,9 @@
   if (segments[1] == "tickets" && segments.size() == 3) {
     return ShowTicket(view.state, segments[2]);
   }
+  if (segments[1] == "flows" && segments.size() == 3) {
+    return DescribeFlows(view.state, segments[2]);
+  }
   if (segments[1] == "decisions") {
     return DescribeDecisions(view, segments[2],
                              segments.size() == 4 ? segments[3] : "");
@@ -210,6 +229,7 @@
   if (path == "/v1/ready") return DescribeReadiness(view);
   if (path == "/v1/status") return DescribeStatus(view.state, view.now);
   if (path == "/v1/targets") return DescribeTargets(view.state);
+  if (path == "/v1/flows") return DescribeFlows(view.state, "");
   if (path == "/v1/tickets") return DescribeTickets(view.state);
   if (path == "/metrics") {
     return {200, view.counts.Expose(view.state, view.totals),
--- a/Source/Runtime/admin_api.h
+++ b/Source/Runtime/admin_api.h
@@ -24,6 +24,9 @@
 // An instance that is behind by more entries isn't ready.
 inline constexpr std::uint64_t kReadyWithinEntries = 8;
 
+// Most flows of one service in a list.
+inline constexpr std::size_t kMaxListedFlows = 1000;
+
 // Answers a GET request; every path of docs/API.md.
 http_answer AnswerQuery(const admin_view& view, const std::string& path);
 
--- a/Source/Runtime/instance_loop.cc
+++ b/Source/Runtime/instance_loop.cc
@@ -323,6 +323,10 @@
     it->second(DescribeOutcome(effect.outcome));
     waiting_.erase(it);
   }
+  void Carry(const request_ended& effect) {
+    if (effect.kind != answer_kind::kServed) return;
+    metrics_.CountLatency(effect.service_class, effect.took);
+  }
   void Carry(log_line& effect) { decisions_.Add(Now(), std::move(effect)); }
 
   const settings& settings_;
--- a/Source/UnitTests/Wire/codec_test.cc
+++ b/Source/UnitTests/Wire/codec_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "Common/hash.h"
+#include "Traffic/answer_parts.h"
 #include "UnitTests/Support/random_message.h"
 #include "UnitTests/Support/random_run.h"
 
@@ -153,14 +154,24 @@
     answer->set_part(1);
     CHECK(FaultOf(message) == "answer.part is not below parts");
     answer->set_part(0);
-    answer->set_parts(0xffffffff);
-    CHECK(FaultOf(message) == "answer.parts is above 1024");
-    answer->set_parts(1);
-    answer->set_body(std::string(kMaxAnswerBytes + 1, 'x'));
-    CHECK(FaultOf(message) == "answer.body is longer than 1048576 bytes");
   }
 }
 
+TEST_CASE("an answer beyond the bounds ends its request") {
+  // It isn't dropped by the parser: the slot would stay taken.
+  wire::target_message message;
+  auto* answer = message.mutable_answer();
+  answer->set_status(wire::DONE);
+  answer->set_parts(1);
+  SECTION("too many parts") { answer->set_parts(0xffffffff); }
+  SECTION("too many bytes") {
+    answer->set_body(std::string(kMaxWholeAnswerBytes + 1, 'x'));
+  }
+  auto parsed = ParseTargetMessage(message.SerializeAsString());
+  const auto& part = std::get<run_answer>(std::get<target_body>(parsed));
+  CHECK(answer_parts().Add(part) == parts_verdict::kTooLarge);
+}
+
 TEST_CASE("an answer is cut into datagrams that fit") {
   const std::string body(GENERATE(0, 1, 1100, 1101, 100'000), 'x');
   const auto datagrams = EncodeAnswer({.flow = {7},
--- a/Source/Wire/codec.cc
+++ b/Source/Wire/codec.cc
@@ -126,12 +126,6 @@
     return wire_error{"answer.status", "is unknown"};
   }
   if (message.parts() == 0) return wire_error{"answer.parts", "is 0"};
-  if (message.parts() > kMaxAnswerParts) {
-    return wire_error{"answer.parts", "is above 1024"};
-  }
-  if (message.body().size() > kMaxAnswerBytes) {
-    return wire_error{"answer.body", "is longer than 1048576 bytes"};
-  }
   if (message.part() >= message.parts()) {
     return wire_error{"answer.part", "is not below parts"};
   }
