Runtime: callers' datagrams in batches, addresses without printf

Cause: perf on the packet path (100,000 flows, keep-alives) showed one system call per datagram and vfprintf from inet_ntop.

--- a/Source/Runtime/caller_socket.cc
+++ b/Source/Runtime/caller_socket.cc
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <cerrno>
+#include <charconv>
 #include <cstring>
 #include <optional>
 
@@ -18,32 +19,55 @@
 // Bytes that the kernel may hold for the socket.
 constexpr int kSocketBufferBytes = 4 << 20;
 
-std::optional<sockaddr_in> ToSockaddr(const std::string& ip,
-                                      std::uint16_t port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(port);
-  if (inet_pton(AF_INET, ip.c_str(), &address.sin_addr) != 1) {
-    return std::nullopt;
+// Datagrams in one system call.
+constexpr std::size_t kBatch = 64;
+
+}  // namespace
+
+caller_address ToCallerAddress(const sockaddr_in& address) {
+  // Three digits and a separator for each byte, and the port.
+  std::array<char, 4 * 4 + 5> text{};
+  char* at = text.data();
+  char* const end = text.data() + text.size();
+  const std::uint32_t ip = ntohl(address.sin_addr.s_addr);
+  for (const int shift : {24, 16, 8, 0}) {
+    at = std::to_chars(at, end, (ip >> shift) & 0xff).ptr;
+    *at++ = shift == 0 ? ':' : '.';
   }
-  return address;
+  at = std::to_chars(at, end, ntohs(address.sin_port)).ptr;
+  return {std::string(text.data(), at)};
 }
 
-std::string ToText(const sockaddr_in& address) {
-  std::array<char, INET_ADDRSTRLEN> ip{};
-  inet_ntop(AF_INET, &address.sin_addr, ip.data(), ip.size());
-  return std::string(ip.data()) + ":" + std::to_string(ntohs(address.sin_port));
+std::optional<sockaddr_in> ToSockaddr(const caller_address& address) {
+  const char* at = address.value.data();
+  const char* const end = at + address.value.size();
+  std::uint32_t ip = 0;
+  for (const char separator : {'.', '.', '.', ':'}) {
+    std::uint8_t byte = 0;
+    const auto [rest, error] = std::from_chars(at, end, byte);
+    if (error != std::errc() || rest == end || *rest != separator) {
+      return std::nullopt;
+    }
+    ip = ip << 8 | byte;
+    at = rest + 1;
+  }
+  std::uint16_t port = 0;
+  const auto [rest, error] = std::from_chars(at, end, port);
+  if (error != std::errc() || rest != end || port == 0) return std::nullopt;
+  sockaddr_in result{};
+  result.sin_family = AF_INET;
+  result.sin_addr.s_addr = htonl(ip);
+  result.sin_port = htons(port);
+  return result;
 }
 
-}  // namespace
-
 caller_socket::~caller_socket() {
   if (file_ >= 0) close(file_);
 }
 
 std::variant<std::monostate, socket_error> caller_socket::Open(
     const endpoint& address) {
-  const auto where = ToSockaddr(address.ip, address.port);
+  const auto where = ToSockaddr(caller_address{ToString(address)});
   if (!where) return socket_error{ToString(address), "is no IPv4 address"};
   file_ = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (file_ < 0) return socket_error{ToString(address), std::strerror(errno)};
@@ -57,31 +81,57 @@
 }
 
 void caller_socket::Receive(
-    int limit,
+    std::size_t limit,
     const std::function<void(caller_address, std::string_view)>& handle) {
-  std::array<char, kMaxDatagramBytes + 1> buffer{};
-  for (int i = 0; i < limit; ++i) {
-    sockaddr_in from{};
-    socklen_t from_size = sizeof(from);
-    const ssize_t size =
-        recvfrom(file_, buffer.data(), buffer.size(), 0,
-                 reinterpret_cast<sockaddr*>(&from), &from_size);
-    if (size < 0) return;
-    handle({ToText(from)},
-           std::string_view(buffer.data(), static_cast<std::size_t>(size)));
+  // One byte more than allowed shows a datagram that is too long.
+  std::array<std::array<char, kMaxDatagramBytes + 1>, kBatch> buffers;
+  std::array<sockaddr_in, kBatch> from{};
+  std::array<iovec, kBatch> parts{};
+  std::array<mmsghdr, kBatch> headers{};
+  for (std::size_t done = 0; done < limit; done += kBatch) {
+    for (std::size_t i = 0; i < kBatch; ++i) {
+      parts[i] = {buffers[i].data(), buffers[i].size()};
+      headers[i].msg_hdr = {.msg_name = &from[i],
+                            .msg_namelen = sizeof(from[i]),
+                            .msg_iov = &parts[i],
+                            .msg_iovlen = 1};
+    }
+    const int count = recvmmsg(file_, headers.data(), kBatch, 0, nullptr);
+    for (int i = 0; i < count; ++i) {
+      const auto at = static_cast<std::size_t>(i);
+      handle(ToCallerAddress(from[at]),
+             std::string_view(buffers[at].data(), headers[at].msg_len));
+    }
+    if (count < static_cast<int>(kBatch)) return;
   }
 }
 
-void caller_socket::Send(const caller_address& to, std::string_view datagram) {
-  const auto colon = to.value.rfind(':');
-  if (colon == std::string::npos) return;
-  const auto where = ToSockaddr(
-      to.value.substr(0, colon),
-      static_cast<std::uint16_t>(std::atoi(to.value.c_str() + colon + 1)));
+void caller_socket::Send(const caller_address& to, std::string datagram) {
+  const auto where = ToSockaddr(to);
   if (!where) return;
-  // A lost answer is asked for again by the caller.
-  sendto(file_, datagram.data(), datagram.size(), 0,
-         reinterpret_cast<const sockaddr*>(&*where), sizeof(*where));
+  batch_.push_back({*where, std::move(datagram)});
+  if (batch_.size() == kBatch) Flush();
+}
+
+void caller_socket::Flush() {
+  std::array<iovec, kBatch> parts{};
+  std::array<mmsghdr, kBatch> headers{};
+  for (std::size_t i = 0; i < batch_.size(); ++i) {
+    outgoing& out = batch_[i];
+    parts[i] = {out.datagram.data(), out.datagram.size()};
+    headers[i].msg_hdr = {.msg_name = &out.to,
+                          .msg_namelen = sizeof(out.to),
+                          .msg_iov = &parts[i],
+                          .msg_iovlen = 1};
+  }
+  // A datagram that can't be sent is passed over, the rest goes on. A lost
+  // answer is asked for again by the caller.
+  for (std::size_t sent = 0; sent < batch_.size();) {
+    const int count = sendmmsg(file_, headers.data() + sent,
+                               static_cast<unsigned>(batch_.size() - sent), 0);
+    sent += count > 0 ? static_cast<std::size_t>(count) : 1;
+  }
+  batch_.clear();
 }
 
 }  // namespace lavendertack
--- a/Source/Runtime/caller_socket.h
+++ b/Source/Runtime/caller_socket.h
@@ -2,10 +2,14 @@
 #ifndef LAVENDERTACK_RUNTIME_CALLER_SOCKET_H_
 #define LAVENDERTACK_RUNTIME_CALLER_SOCKET_H_
 
+#include <netinet/in.h>
+
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "Config/settings.h"
 #include "Traffic/messages.h"
@@ -25,17 +29,29 @@
   ~caller_socket();
 
   std::variant<std::monostate, socket_error> Open(const endpoint& address);
-  // Reads at most `limit` datagrams.
+  // Reads at most `limit` datagrams, many with one system call.
   void Receive(
-      int limit,
+      std::size_t limit,
       const std::function<void(caller_address, std::string_view)>& handle);
-  void Send(const caller_address& to, std::string_view datagram);
+  // Puts a datagram into the batch that the next Flush sends.
+  void Send(const caller_address& to, std::string datagram);
+  void Flush();
   int file() const { return file_; }
 
  private:
+  struct outgoing {
+    sockaddr_in to{};
+    std::string datagram;
+  };
+
   int file_ = -1;
+  std::vector<outgoing> batch_;
 };
 
+// "ip:port" of an IPv4 address, and back.
+caller_address ToCallerAddress(const sockaddr_in& address);
+std::optional<sockaddr_in> ToSockaddr(const caller_address& address);
+
 }  // namespace lavendertack
 
 #endif  // LAVENDERTACK_RUNTIME_CALLER_SOCKET_H_
--- a/Source/Runtime/instance_loop.cc
+++ b/Source/Runtime/instance_loop.cc
@@ -32,7 +32,7 @@
 // Time between two ticks of the reducer.
 constexpr milliseconds kTickInterval{10};
 // Datagrams read before other sockets get their turn.
-constexpr int kDatagramsPerTurn = 256;
+constexpr std::size_t kDatagramsPerTurn = 256;
 
 // CLOCK_BOOTTIME goes on while the process or the machine is suspended.
 instant Now() {
@@ -131,6 +131,7 @@
         decisions_.Tick(Now());
         next_tick = Now() + kTickInterval;
       }
+      callers_.Flush();
     }
     CloseAdmin();
     LOG(INFO) << "instance: " << settings_.instance << " ends";
@@ -295,8 +296,8 @@
 
   void Carry(const send_answer& effect) {
     metrics_.CountAnswer(effect.answer);
-    for (const std::string& datagram : EncodeAnswer(effect.answer)) {
-      callers_.Send(effect.to, datagram);
+    for (std::string& datagram : EncodeAnswer(effect.answer)) {
+      callers_.Send(effect.to, std::move(datagram));
     }
   }
   void Carry(const send_run& effect) {
