Node: a settled ticket is answered without another log entry

Cause: a resend, or a number that is taken, went through a round of agreement, and a resend became another entry (seen while trying the first ticket: entry 2 was ticket 1 again). Chosen entries never change, so a verdict that rests on them alone is final at any replica. Seen failing first: TicketSubmitTest, applied entry 2 instead of 1.

--- a/Source/Node/node.cc
+++ b/Source/Node/node.cc
@@ -37,6 +37,15 @@
   return request == nullptr ? request_number{} : request->number;
 }
 
+// The verdict rests on chosen entries alone, which never change: a resend of
+// an accepted ticket, or a number that is taken.
+bool IsSettled(const ticket_verdict& verdict, log_index applied) {
+  if (const auto* accepted = std::get_if<ticket_accepted>(&verdict)) {
+    return accepted->index <= applied;
+  }
+  return !std::holds_alternative<ticket_invalid>(verdict);
+}
+
 }  // namespace
 
 node::node(node_settings settings)
@@ -234,6 +243,11 @@
   const proposal_id id{++proposals_};
   waiting_[id] = origin;
   proposed_[id] = ticket;
+  if (const auto verdict = directory_.Check(ticket);
+      IsSettled(verdict, directory_.applied())) {
+    AnswerProposal(id, verdict);
+    return;
+  }
   RunAgreement(propose_entry{id, EncodeTicket(ticket)});
 }
 
--- /dev/null
+++ b/Source/UnitTests/Node/ticket_submit_test.cc
@@ -0,0 +1,73 @@
+#include <catch2/catch.hpp>
+
+#include "Node/node.h"
+
+namespace lavendertack {
+namespace {
+
+// One replica alone: its own vote is the quorum.
+class single_replica {
+ public:
+  single_replica()
+      : node_({.self = {"one"},
+               .data_centre = {"east"},
+               .deployment = "test",
+               .replica = true,
+               .members = {{.name = {"one"},
+                            .data_centre = {"east"},
+                            .replica = true,
+                            .last_heard = std::nullopt,
+                            .last = {}}},
+               .incarnation = 1,
+               .seed = 1}) {}
+
+  // The verdict on a ticket, within a second.
+  ticket_verdict Submit(const std::string& json) {
+    std::optional<ticket_verdict> verdict;
+    const auto run = [&](const node_event& event) {
+      for (const node_effect& effect : node_.Reduce(now_, event)) {
+        if (const auto* answer = std::get_if<answer_ticket>(&effect)) {
+          verdict = std::get<ticket_verdict>(answer->outcome);
+        }
+      }
+    };
+    run(ticket_submitted{{1}, std::get<change_ticket>(ParseTicket(json))});
+    for (int i = 0; i < 100 && !verdict; ++i) {
+      now_ += milliseconds(10);
+      run(node_tick{});
+    }
+    REQUIRE(verdict);
+    return *verdict;
+  }
+  log_index applied() const { return node_.agreed().applied(); }
+
+ private:
+  instant now_{seconds(10)};
+  node node_;
+};
+
+TEST_CASE("a settled ticket is answered without another entry") {
+  single_replica replica;
+  const std::string first =
+      R"({"number": 4, "classes": [{"name": "hold", "price": 1}]})";
+  const auto index = std::get<ticket_accepted>(replica.Submit(first)).index;
+  const log_index applied = replica.applied();
+
+  SECTION("a resend gets the first answer") {
+    CHECK(std::get<ticket_accepted>(replica.Submit(first)).index == index);
+  }
+  SECTION("another ticket with its number conflicts") {
+    const auto verdict = replica.Submit(
+        R"({"number": 4, "classes": [{"name": "hold", "price": 2}]})");
+    CHECK(std::get<ticket_conflict>(verdict).index == index);
+  }
+  SECTION("a lower number is outdated") {
+    const auto verdict = replica.Submit(
+        R"({"number": 3, "classes": [{"name": "hold", "price": 2}]})");
+    CHECK(std::get<ticket_outdated>(verdict).newest == ticket_number{4});
+  }
+  CHECK(replica.applied() == applied);
+}
+
+}  // namespace
+}  // namespace lavendertack
