--- a/Source/Runtime/instance_loop.cc
+++ b/Source/Runtime/instance_loop.cc
@@ -154,18 +154,13 @@
       stop_until_ = Now() + settings_.stop_within;
       LOG(INFO) << "instance: " << settings_.instance << " stops within "
                 << settings_.stop_within.count() << " ms";
+      Dispatch(leave_requested{});
     }
     return stop > 1 || Now() >= *stop_until_ || IsIdle();
   }
 
-  // Nothing of callers or operators is in progress here.
-  bool IsIdle() const {
-    return waiting_.empty() &&
-           std::all_of(node_.shards().begin(), node_.shards().end(),
-                       [](const auto& entry) {
-                         return entry.second.Load().busy_slots == 0;
-                       });
-  }
+  // Every service is handed over, and no operator waits.
+  bool IsIdle() const { return waiting_.empty() && node_.HasLeft(); }
 
   // Nobody waits for an answer that can't come any more.
   void CloseAdmin() {
--- a/Source/Runtime/metrics.cc
+++ b/Source/Runtime/metrics.cc
@@ -106,8 +106,9 @@
     for (std::size_t i = 0; i < kQuantiles.size(); ++i) {
       std::ostringstream quantile;
       quantile << kQuantiles[i];
+      const auto at = static_cast<std::ptrdiff_t>(i);
       out.Sample(label + "," + Label("quantile", quantile.str()),
-                 tags::extended_p_square(estimate)[i]);
+                 tags::extended_p_square(estimate)[at]);
     }
     out.Sample(label, tags::sum(estimate), "_sum");
     out.Sample(label, tags::count(estimate), "_count");
