--- a/Source/Node/node.cc
+++ b/Source/Node/node.cc
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "Directory/log_entry.h"
+#include "Node/peer_check.h"
 #include "Wire/codec.h"
 
 namespace lavendertack {
@@ -63,6 +64,15 @@
   return request == nullptr ? request_number{} : request->number;
 }
 
+// The verdict rests on chosen entries alone, which never change: a resend of
+// an accepted ticket, or a number that is taken.
+bool IsSettled(const ticket_verdict& verdict, log_index applied) {
+  if (const auto* accepted = std::get_if<ticket_accepted>(&verdict)) {
+    return accepted->index <= applied;
+  }
+  return !std::holds_alternative<ticket_invalid>(verdict);
+}
+
 // The owner by the roster hasn't taken charge yet, or its lease ran out. A
 // request that the previous owner may have sent isn't called "not run".
 place_refused NotInCharge(const caller_packet& packet) {
@@ -223,6 +233,10 @@
   if (message.has_packet()) {
     HandleForwarded(message.packet());
   } else if (message.has_agreement()) {
+    if (!HasReadableEntries(message.agreement())) {
+      ++unreadable_messages_;
+      return;
+    }
     RunAgreement(agreement_received{from, message.agreement()});
   } else if (message.has_ownership()) {
     HandleOwnership(from, message.ownership());
@@ -285,6 +299,11 @@
   const proposal_id id{++proposals_};
   waiting_[id] = origin;
   proposed_[id] = ticket;
+  if (const auto verdict = directory_.Check(ticket);
+      IsSettled(verdict, directory_.applied())) {
+    AnswerProposal(id, verdict);
+    return;
+  }
   RunAgreement(propose_entry{id, EncodeTicket(ticket)});
 }
 
@@ -518,7 +537,10 @@
   const bool may_act = ownership_.MayAct(now_, name);
   for (shard_effect& effect : shards_.at(name).Reduce(now_, view, event)) {
     if (auto* note = std::get_if<note_decision>(&effect)) {
-      Log("shard " + name.value, std::move(note->text));
+      Log("shard " + name.value, std::move(note->text), note->flow,
+          note->request);
+    } else if (auto* ended = std::get_if<request_ended>(&effect)) {
+      effects_.emplace_back(std::move(*ended));
     } else if (auto* answer = std::get_if<send_answer>(&effect)) {
       effects_.emplace_back(std::move(*answer));
     } else if (auto* run = std::get_if<send_run>(&effect)) {
--- a/Source/Node/node.h
+++ b/Source/Node/node.h
@@ -76,8 +76,9 @@
   flow_id flow;            // 0: about no single flow.
   request_number request;  // 0: about the flow itself.
 };
-using node_effect = std::variant<send_answer, send_run, send_cancel, send_peer,
-                                 persist_record, answer_ticket, log_line>;
+using node_effect =
+    std::variant<send_answer, send_run, send_cancel, send_peer, persist_record,
+                 answer_ticket, log_line, request_ended>;
 
 class node {
  public:
@@ -102,6 +103,8 @@
   // instance of its data centre and no request runs any more.
   bool HasLeft() const;
   const node_settings& settings() const { return settings_; }
+  // Messages dropped because of log entries that can't be read.
+  std::uint64_t unreadable_messages() const { return unreadable_messages_; }
 
  private:
   // Who waits for the outcome of a ticket: an operator's request here, or
@@ -179,6 +182,7 @@
   std::map<proposal_id, change_ticket> proposed_;
   std::map<log_index, ticket_verdict> verdicts_;
   std::uint64_t proposals_ = 0;
+  std::uint64_t unreadable_messages_ = 0;
   bool leaving_ = false;
   bool roster_applied_ = false;  // By the event that is being reduced.
   std::optional<instant> last_heartbeat_;
--- a/Source/Runtime/instance_loop.cc
+++ b/Source/Runtime/instance_loop.cc
@@ -1,6 +1,7 @@
 #include "Runtime/instance_loop.h"
 
 #include <glog/logging.h>
+#include <google/protobuf/stubs/logging.h>
 #include <sys/eventfd.h>
 #include <sys/random.h>
 #include <unistd.h>
@@ -31,7 +32,7 @@
 // Time between two ticks of the reducer.
 constexpr milliseconds kTickInterval{10};
 // Datagrams read before other sockets get their turn.
-constexpr int kDatagramsPerTurn = 256;
+constexpr std::size_t kDatagramsPerTurn = 256;
 
 // CLOCK_BOOTTIME goes on while the process or the machine is suspended.
 instant Now() {
@@ -135,6 +136,7 @@
         decisions_.Tick(Now());
         next_tick = Now() + kTickInterval;
       }
+      callers_.Flush();
     }
     CloseAdmin();
     LOG(INFO) << "instance: " << settings_.instance << " ends";
@@ -152,18 +154,13 @@
       stop_until_ = Now() + settings_.stop_within;
       LOG(INFO) << "instance: " << settings_.instance << " stops within "
                 << settings_.stop_within.count() << " ms";
+      Dispatch(leave_requested{});
     }
     return stop > 1 || Now() >= *stop_until_ || IsIdle();
   }
 
-  // Nothing of callers or operators is in progress here.
-  bool IsIdle() const {
-    return waiting_.empty() &&
-           std::all_of(node_.shards().begin(), node_.shards().end(),
-                       [](const auto& entry) {
-                         return entry.second.Load().busy_slots == 0;
-                       });
-  }
+  // Every service is handed over, and no operator waits.
+  bool IsIdle() const { return waiting_.empty() && node_.HasLeft(); }
 
   // Nobody waits for an answer that can't come any more.
   void CloseAdmin() {
@@ -299,8 +296,8 @@
 
   void Carry(const send_answer& effect) {
     metrics_.CountAnswer(effect.answer);
-    for (const std::string& datagram : EncodeAnswer(effect.answer)) {
-      callers_.Send(effect.to, datagram);
+    for (std::string& datagram : EncodeAnswer(effect.answer)) {
+      callers_.Send(effect.to, std::move(datagram));
     }
   }
   void Carry(const send_run& effect) {
@@ -327,6 +324,10 @@
     it->second(DescribeOutcome(effect.outcome));
     waiting_.erase(it);
   }
+  void Carry(const request_ended& effect) {
+    if (effect.kind != answer_kind::kServed) return;
+    metrics_.CountLatency(effect.service_class, effect.took);
+  }
   void Carry(log_line& effect) { decisions_.Add(Now(), std::move(effect)); }
 
   const settings& settings_;
@@ -351,6 +352,9 @@
 
 std::variant<std::monostate, instance_error> RunInstance(
     const settings& settings, const std::atomic<int>& stop) {
+  // The library would log a line for each text that isn't UTF-8; such
+  // messages are counted instead.
+  google::protobuf::SetLogHandler(nullptr);
   try {
     instance_loop loop(settings);
     auto started = loop.Start();
--- a/Source/Runtime/metrics.cc
+++ b/Source/Runtime/metrics.cc
@@ -106,8 +106,9 @@
     for (std::size_t i = 0; i < kQuantiles.size(); ++i) {
       std::ostringstream quantile;
       quantile << kQuantiles[i];
+      const auto at = static_cast<std::ptrdiff_t>(i);
       out.Sample(label + "," + Label("quantile", quantile.str()),
-                 tags::extended_p_square(estimate)[i]);
+                 tags::extended_p_square(estimate)[at]);
     }
     out.Sample(label, tags::sum(estimate), "_sum");
     out.Sample(label, tags::count(estimate), "_count");
@@ -115,6 +116,9 @@
   ExposeShards(state, &out);
   out.Single("applied_entry", "gauge", "Newest applied entry of the log.",
              state.agreed().applied().value);
+  out.Single("unreadable_messages_total", "counter",
+             "Messages with log entries that can't be read, dropped.",
+             state.unreadable_messages());
   out.Single("peer_sent_bytes_total", "counter",
              "Bytes sent to other instances.", totals.peer_bytes_sent);
   out.Single("peer_received_bytes_total", "counter",
--- a/Source/Traffic/flow_table.h
+++ b/Source/Traffic/flow_table.h
@@ -92,6 +92,7 @@
   void ForgetOld(instant now);
 
   std::size_t size() const { return flows_.size(); }
+  const std::unordered_map<flow_id, flow_record>& all() const { return flows_; }
   bool full() const { return flows_.size() >= kMaxFlows; }
   std::size_t kept_records() const { return records_; }
   std::size_t kept_bytes() const { return kept_bytes_; }
--- a/Source/Traffic/service_shard.cc
+++ b/Source/Traffic/service_shard.cc
@@ -97,6 +97,17 @@
 
 // ---- Callers.
 
+std::vector<flow_summary> service_shard::Flows(std::size_t limit) const {
+  std::vector<flow_summary> flows;
+  for (const auto& [id, flow] : flows_.all()) {
+    if (flows.size() >= limit) break;
+    const target_record* target = targets_.Find(flow.target);
+    flows.push_back(
+        {id, target == nullptr ? target_name{} : target->name, flow.live});
+  }
+  return flows;
+}
+
 void service_shard::HandlePacket(const shard_packet& event) {
   if (std::holds_alternative<open_flow>(event.packet.body)) {
     HandleOpen(event);
@@ -148,7 +159,9 @@
     PinFlow(flow, target);
     ++counters_.opened;
     Note("flow " + std::to_string(id.value) + " placed at target " +
-         target->name.value + ", " + std::to_string(target->flows) + " open");
+             target->name.value + ", " + std::to_string(target->flows) +
+             " open",
+         id);
   }
   flows_.Touch(flow, now_);
   if (PlaceFlow(flow, std::nullopt) == nullptr) {
@@ -173,7 +186,8 @@
   flow_record* flow = flows_.Open(event.packet.flow, token->nonce, now_);
   const target_record* target = PlaceFlow(flow, token);
   Note("flow " + std::to_string(flow->id.value) + " rebuilt at " +
-       (target == nullptr ? "no target" : "target " + target->name.value));
+           (target == nullptr ? "no target" : "target " + target->name.value),
+       flow->id);
   return flow;
 }
 
@@ -324,7 +338,8 @@
   PinFlow(flow, next);
   ++counters_.moved;
   Note("flow " + std::to_string(flow->id.value) + " moved to target " +
-       next->name.value);
+           next->name.value,
+       flow->id);
   return next;
 }
 
@@ -511,8 +526,9 @@
   live.earlier_unknown |= live.may_have_run;
   live.may_have_run = false;
   Note("flow " + std::to_string(request.flow->id.value) + " request " +
-       std::to_string(request.number.value) + " retried at target " +
-       target->name.value);
+           std::to_string(request.number.value) + " retried at target " +
+           target->name.value,
+       request.flow->id, request.number);
   Run(request, target);
   return true;
 }
@@ -855,9 +871,13 @@
     load_.Refused(live.request.service_class);
     record->come_back = Spread(ComeBack(live));
     Note("flow " + std::to_string(request.flow->id.value) + " request " +
-         std::to_string(request.number.value) + " refused, " +
-         std::string(ToString(result.reason)));
+             std::to_string(request.number.value) + " refused, " +
+             std::string(ToString(result.reason)),
+         request.flow->id, request.number);
   }
+  effects_.emplace_back(
+      request_ended{live.request.service_class, result.kind,
+                    now_ - (live.deadline - live.request.deadline)});
   deadlines_.Remove(live.deadline, request.key());
   Answer(live.caller, AnswerOf(request, std::nullopt));
   if (request.flow->closing) closed_.push_back(request.flow->id);
@@ -912,8 +932,9 @@
 void service_shard::RefusePacket(const shard_packet& event, answer_kind kind,
                                  refusal_reason reason) {
   Note("flow " + std::to_string(event.packet.flow.value) + " request " +
-       std::to_string(NumberIn(event.packet).value) + " refused, " +
-       std::string(ToString(kind)) + ", " + std::string(ToString(reason)));
+           std::to_string(NumberIn(event.packet).value) + " refused, " +
+           std::string(ToString(kind)) + ", " + std::string(ToString(reason)),
+       event.packet.flow, NumberIn(event.packet));
   caller_answer answer{.flow = event.packet.flow,
                        .request = NumberIn(event.packet),
                        .kind = kind,
@@ -937,8 +958,9 @@
   effects_.emplace_back(send_cancel{target.connection, attempt});
 }
 
-void service_shard::Note(std::string text) {
-  effects_.emplace_back(note_decision{std::move(text)});
+void service_shard::Note(std::string text, flow_id flow,
+                         request_number request) {
+  effects_.emplace_back(note_decision{std::move(text), flow, request});
 }
 
 }  // namespace lavendertack
--- a/Source/Traffic/service_shard.h
+++ b/Source/Traffic/service_shard.h
@@ -43,6 +43,8 @@
   shard_load Load() const;
   const shard_counters& counters() const { return counters_; }
   std::size_t flow_count() const { return flows_.size(); }
+  // At most `limit` open flows, in no order.
+  std::vector<flow_summary> Flows(std::size_t limit) const;
   // Requests sent to targets whose callers still wait. A shard that has
   // stopped admitting may be dropped when there are none.
   std::size_t running_requests() const { return running_; }
@@ -146,7 +148,7 @@
                     refusal_reason reason);
   void Answer(const caller_address& to, caller_answer answer);
   void Cancel(const target_record& target, attempt_id attempt);
-  void Note(std::string text);
+  void Note(std::string text, flow_id flow = {}, request_number request = {});
 
   shard_settings settings_;
   std::mt19937_64 random_;
--- a/Source/Traffic/shard_events.h
+++ b/Source/Traffic/shard_events.h
@@ -53,9 +53,17 @@
 // One routing or placement decision, for the log.
 struct note_decision {
   std::string text;
+  flow_id flow;            // 0: about no single flow.
+  request_number request;  // 0: about the flow itself.
 };
-using shard_effect =
-    std::variant<send_answer, send_run, send_cancel, note_decision>;
+// A request got its final answer; for the metrics.
+struct request_ended {
+  class_name service_class;
+  answer_kind kind = answer_kind::kNotRun;
+  microseconds took{0};  // Since the owner took it in.
+};
+using shard_effect = std::variant<send_answer, send_run, send_cancel,
+                                  note_decision, request_ended>;
 
 // What the shard needs of the agreed state.
 struct shard_view {
@@ -77,6 +85,13 @@
   std::uint32_t free_connections = 0;
 };
 
+// An open flow, for operators.
+struct flow_summary {
+  flow_id flow;
+  target_name target;  // Empty: none at the moment.
+  std::uint32_t live_requests = 0;
+};
+
 // Counts since the shard began.
 struct shard_counters {
   std::uint64_t opened = 0;      // Flows.
--- a/Source/Wire/codec.cc
+++ b/Source/Wire/codec.cc
@@ -13,6 +13,11 @@
   if (name.size() > kMaxNameBytes) {
     return wire_error{std::move(field), "is longer than 64 bytes"};
   }
+  const bool control = std::any_of(name.begin(), name.end(), [](char c) {
+    return static_cast<unsigned char>(c) < 0x20 || c == 0x7f;
+  });
+  // It would break lines of the log.
+  if (control) return wire_error{std::move(field), "holds a control character"};
   return std::nullopt;
 }
 
--- a/Tools/demo.py
+++ b/Tools/demo.py
@@ -49,6 +49,7 @@
             if "data_folder" in settings:
                 settings["data_folder"] = str(self.run / settings["instance"])
             settings["admin_token_file"] = str(self.token)
+            settings["stop_within_ms"] = 3000
             own = self.run / path.name
             own.write_text(json.dumps(settings))
             self.settings[settings["instance"]] = (own, settings)
