--- a/Source/UnitTests/Traffic/shard_world.cc
+++ b/Source/UnitTests/Traffic/shard_world.cc
@@ -336,7 +336,7 @@
   if (target.boot == boot && it != target.cancelled.end()) it->second = true;
 }
 
-void shard_world::Begin(int index, std::uint64_t boot, run_order order) {
+void shard_world::Begin(int index, std::uint64_t boot, const run_order& order) {
   fake_target& target = targets_[index];
   if (target.boot != boot) return;  // Lost with the process.
   const bool cancelled = target.cancelled[order.attempt];
--- a/Source/UnitTests/Traffic/shard_world.h
+++ b/Source/UnitTests/Traffic/shard_world.h
@@ -83,7 +83,7 @@
   void Announce(int index);
   void Disturb(int index);
   void HandleRun(const send_run& run);
-  void Begin(int index, std::uint64_t boot, run_order order);
+  void Begin(int index, std::uint64_t boot, const run_order& order);
   void SendAnswer(int index, std::uint64_t boot, const run_order& order,
                   run_status status);
   void HandleCancel(const send_cancel& cancel);
