Node: route packets by a pure module, tell true outcomes; whole-node proof

Cause: the entry instance answered from suspicion alone.

Change: Node/packet_router holds the decision as pure functions, node.cc only carries it out. An instance that isn't in charge never says NOT_RUN of a request. caller_answer has flow_lost. NOT_CURRENT asks to come back.

--- a/Source/Node/node.cc
+++ b/Source/Node/node.cc
@@ -11,10 +11,6 @@
 namespace lavendertack {
 namespace {
 
-// A packet is handed on at most so often inside the system.
-constexpr std::uint32_t kMaxHops = 2;
-// When a caller that no instance could serve may come back.
-constexpr milliseconds kComeBack{500};
 // Verdicts kept for proposals that are still being answered.
 constexpr std::size_t kKeptVerdicts = 64;
 
@@ -29,11 +25,6 @@
   return result;
 }
 
-request_number RequestOf(const caller_packet& packet) {
-  const auto* request = std::get_if<run_request>(&packet.body);
-  return request == nullptr ? request_number{} : request->number;
-}
-
 }  // namespace
 
 node::node(node_settings settings)
@@ -67,72 +58,39 @@
 }
 
 void node::Handle(const caller_spoke& event) {
-  RoutePacket(event.packet, event.from, 0, milliseconds(0));
+  Route(event.packet, event.from, packet_origin{});
 }
 
-void node::RoutePacket(const caller_packet& packet,
-                       const caller_address& caller, std::uint32_t hops,
-                       milliseconds waited) {
-  const placement_view view = ViewFor(packet.service);
-  const auto* request = std::get_if<run_request>(&packet.body);
-  placement where;
-  if (packet.token) {
-    where = PlaceEstablished(view, *packet.token,
-                             request != nullptr && !request->repeatable);
-  } else if (std::holds_alternative<open_flow>(packet.body)) {
-    where = PlaceNewFlow(view, packet.service, packet.flow);
+void node::Route(const caller_packet& packet, const caller_address& caller,
+                 const packet_origin& origin) {
+  const route next = RoutePacket(ViewFor(packet.service), packet, origin);
+  if (const auto* refusal = std::get_if<place_refused>(&next)) {
+    Log("entry", "flow " + std::to_string(packet.flow.value) + " refused, " +
+                     std::string(ToString(refusal->reason)));
+    effects_.emplace_back(send_answer{caller, RefusalOf(packet, *refusal)});
+  } else if (const auto* hop = std::get_if<hand_on>(&next)) {
+    HandOn(*hop, packet, caller);
   } else {
-    where = place_refused{answer_kind::kFlowLost, refusal_reason::kNone};
-  }
-  if (const auto* refusal = std::get_if<place_refused>(&where)) {
-    RefusePacket(packet, caller, *refusal);
-    return;
+    RunShard(packet.service, shard_packet{packet, caller, origin.waited});
   }
-  const auto& place = std::get<place_at>(where);
-  if (place.owner == settings_.self) {
-    RunShard(packet.service, shard_packet{packet, caller, waited});
-    return;
-  }
-  Forward(place, packet, caller, hops, waited);
 }
 
-void node::Forward(const place_at& place, const caller_packet& packet,
-                   const caller_address& caller, std::uint32_t hops,
-                   milliseconds waited) {
-  if (hops >= kMaxHops) {
-    RefusePacket(packet, caller,
-                 {answer_kind::kNotRun, refusal_reason::kOwnerUnreachable});
-    return;
-  }
+void node::HandOn(const hand_on& next, const caller_packet& packet,
+                  const caller_address& caller) {
   wire::peer_message message = NewPeerMessage();
   auto* forwarded = message.mutable_packet();
   *forwarded->mutable_packet() = ToWire(packet);
   forwarded->set_caller_address(caller.value);
-  forwarded->set_hops(hops + 1);
-  forwarded->set_data_centre(place.data_centre.value);
-  forwarded->set_waited_ms(static_cast<std::uint32_t>(waited.count()));
-  if (hops == 0 && std::holds_alternative<open_flow>(packet.body)) {
+  forwarded->set_hops(next.hops);
+  forwarded->set_data_centre(next.place.data_centre.value);
+  forwarded->set_waited_ms(static_cast<std::uint32_t>(next.waited.count()));
+  if (next.hops == 1 && std::holds_alternative<open_flow>(packet.body)) {
     Log("entry", "flow " + std::to_string(packet.flow.value) + " of " +
-                     packet.service.value + " sent to " + place.owner.value +
-                     " in " + place.data_centre.value);
+                     packet.service.value + " sent to " +
+                     next.place.owner.value + " in " +
+                     next.place.data_centre.value);
   }
-  effects_.emplace_back(send_peer{place.owner, std::move(message)});
-}
-
-void node::RefusePacket(const caller_packet& packet,
-                        const caller_address& caller,
-                        const place_refused& refusal) {
-  Log("entry", "flow " + std::to_string(packet.flow.value) + " refused, " +
-                   std::string(ToString(refusal.reason)));
-  effects_.emplace_back(send_answer{
-      caller, caller_answer{.flow = packet.flow,
-                            .request = RequestOf(packet),
-                            .kind = refusal.kind,
-                            .reason = refusal.reason,
-                            .come_back = refusal.kind == answer_kind::kNotRun
-                                             ? kComeBack
-                                             : milliseconds(0),
-                            .token = packet.token}});
+  effects_.emplace_back(send_peer{next.place.owner, std::move(message)});
 }
 
 void node::Handle(const target_announced& event) {
@@ -170,6 +128,8 @@
     RunAgreement(agreement_received{from, message.agreement()});
   } else if (message.has_heartbeat()) {
     membership_.Heard(now_, from, message.heartbeat());
+    newest_told_ = std::max(newest_told_.value_or(log_index{}),
+                            log_index{message.heartbeat().applied_index()});
     if (message.heartbeat().applied_index() > directory_.applied().value) {
       wire::peer_message ask = NewPeerMessage();
       ask.mutable_agreement()->mutable_fetch()->set_first(
@@ -183,15 +143,10 @@
   auto parsed = FromWire(message.packet());
   if (std::holds_alternative<wire_error>(parsed)) return;
   const auto& packet = std::get<caller_packet>(parsed);
-  const caller_address caller{message.caller_address()};
-  const milliseconds waited(message.waited_ms());
-  const data_centre_name place{message.data_centre()};
-  if (place == settings_.data_centre &&
-      OwnerOf(packet.service, place) == settings_.self) {
-    RunShard(packet.service, shard_packet{packet, caller, waited});
-    return;
-  }
-  RoutePacket(packet, caller, message.hops(), waited);
+  Route(packet, caller_address{message.caller_address()},
+        packet_origin{.placed = data_centre_name{message.data_centre()},
+                      .hops = message.hops(),
+                      .waited = milliseconds(message.waited_ms())});
 }
 
 void node::Handle(const ticket_submitted& event) {
@@ -273,6 +228,8 @@
     if (auto* note = std::get_if<note_decision>(&effect)) {
       Log("shard " + name.value, std::move(note->text));
     } else if (auto* answer = std::get_if<send_answer>(&effect)) {
+      answer->answer.flow_lost =
+          EndsFlow(answer->answer.kind, answer->answer.reason);
       effects_.emplace_back(std::move(*answer));
     } else if (auto* run = std::get_if<send_run>(&effect)) {
       CHECK(run->order.service == name) << "a request left its service";
@@ -304,8 +261,13 @@
   }
 }
 
-placement_view node::ViewFor(const service_name& service) const {
-  placement_view view;
+routing_view node::ViewFor(const service_name& service) const {
+  routing_view result{
+      .self = settings_.self,
+      .data_centre = settings_.data_centre,
+      .current = newest_told_ && directory_.applied() >= *newest_told_,
+      .placement = {}};
+  placement_view& view = result.placement;
   view.service_known = directory_.FindService(service) != nullptr;
   std::set<data_centre_name> names;
   for (const auto& [id, m] : membership_.members()) {
@@ -326,7 +288,7 @@
   view.owner = [this, service](const data_centre_name& name) {
     return OwnerOf(service, name);
   };
-  return view;
+  return result;
 }
 
 shard_view node::ShardViewFor(const service_name& service) const {
--- a/Source/Node/node.h
+++ b/Source/Node/node.h
@@ -13,6 +13,7 @@
 #include "Agreement/agreement.h"
 #include "Directory/directory.h"
 #include "Membership/membership.h"
+#include "Node/packet_router.h"
 #include "Traffic/messages.h"
 #include "Traffic/placement.h"
 #include "Traffic/service_shard.h"
@@ -106,19 +107,16 @@
   void Handle(const ticket_submitted& event);
   void Handle(const node_tick& event);
 
-  void RoutePacket(const caller_packet& packet, const caller_address& caller,
-                   std::uint32_t hops, milliseconds waited);
-  void Forward(const place_at& place, const caller_packet& packet,
-               const caller_address& caller, std::uint32_t hops,
-               milliseconds waited);
-  void RefusePacket(const caller_packet& packet, const caller_address& caller,
-                    const place_refused& refusal);
+  void Route(const caller_packet& packet, const caller_address& caller,
+             const packet_origin& origin);
+  void HandOn(const hand_on& next, const caller_packet& packet,
+              const caller_address& caller);
   void HandleForwarded(const wire::forwarded_packet& message);
   void RunAgreement(const agreement_event& event);
   void ApplyChosen(const entry_chosen& entry);
   void RunShard(const service_name& name, const shard_event& event);
   void SendHeartbeats();
-  placement_view ViewFor(const service_name& service) const;
+  routing_view ViewFor(const service_name& service) const;
   shard_view ShardViewFor(const service_name& service) const;
   std::optional<instance_name> OwnerOf(const service_name& service,
                                        const data_centre_name& name) const;
@@ -137,6 +135,8 @@
   std::uint64_t proposals_ = 0;
   std::uint64_t shard_epochs_ = 0;
   std::optional<instant> last_heartbeat_;
+  // The newest entry that a peer told of; none before the first heartbeat.
+  std::optional<log_index> newest_told_;
   // For the event that is being reduced.
   instant now_;
   std::vector<node_effect> effects_;
--- a/Source/Traffic/messages.cc
+++ b/Source/Traffic/messages.cc
@@ -2,6 +2,12 @@
 
 namespace lavendertack {
 
+bool EndsFlow(answer_kind kind, refusal_reason reason) {
+  return kind == answer_kind::kFlowLost ||
+         reason == refusal_reason::kDataCentreOut ||
+         reason == refusal_reason::kTargetLost;
+}
+
 std::string_view ToString(answer_kind kind) {
   switch (kind) {
     case answer_kind::kOpened:
@@ -52,6 +58,8 @@
       return "too old";
     case refusal_reason::kDraining:
       return "draining";
+    case refusal_reason::kNotCurrent:
+      return "not current";
   }
   return "invalid";
 }
--- a/Source/Traffic/messages.h
+++ b/Source/Traffic/messages.h
@@ -87,6 +87,7 @@
   kTooLarge = 12,
   kTooOld = 13,
   kDraining = 14,
+  kNotCurrent = 20,
 };
 
 struct caller_answer {
@@ -97,6 +98,8 @@
   milliseconds come_back{0};  // With kNotRun: when to try again.
   std::optional<flow_token> token;
   std::string body;
+  // The flow is given up: the caller opens a new one.
+  bool flow_lost = false;
 };
 
 // Values are those of wire::target_state.
@@ -138,6 +141,10 @@
   std::string body;
 };
 
+// The answer means that its flow is given up: there is no target or data
+// centre left that holds it.
+bool EndsFlow(answer_kind kind, refusal_reason reason);
+
 std::string_view ToString(answer_kind kind);
 std::string_view ToString(refusal_reason reason);
 std::string_view ToString(target_state state);
--- a/Source/Traffic/placement.cc
+++ b/Source/Traffic/placement.cc
@@ -22,9 +22,6 @@
 
 placement PlaceNewFlow(const placement_view& view, const service_name& service,
                        flow_id flow) {
-  if (!view.service_known) {
-    return place_refused{answer_kind::kNotRun, refusal_reason::kUnknownService};
-  }
   const std::uint64_t key = StableHash(service.value, flow.value);
   std::optional<place_at> best;
   double best_score = 0;
@@ -39,26 +36,20 @@
     best_score = score;
   }
   if (best) return *best;
-  return place_refused{answer_kind::kNotRun, refusal_reason::kNoTarget};
+  return place_refused{refusal_reason::kNoTarget};
 }
 
-placement PlaceEstablished(const placement_view& view, const flow_token& token,
-                           bool may_have_run) {
+placement PlaceEstablished(const placement_view& view,
+                           const flow_token& token) {
   for (const data_centre_choice& choice : view.data_centres) {
     if (choice.name != token.data_centre) continue;
-    if (choice.out) {
-      return place_refused{
-          may_have_run ? answer_kind::kOutcomeUnknown : answer_kind::kFlowLost,
-          refusal_reason::kDataCentreOut};
-    }
+    if (choice.out) return place_refused{refusal_reason::kDataCentreOut, true};
     if (auto owner = view.owner(choice.name)) {
       return place_at{choice.name, *owner};
     }
-    return place_refused{
-        may_have_run ? answer_kind::kOutcomeUnknown : answer_kind::kNotRun,
-        refusal_reason::kOwnerUnreachable};
+    return place_refused{refusal_reason::kOwnerUnreachable};
   }
-  return place_refused{answer_kind::kFlowLost, refusal_reason::kDataCentreOut};
+  return place_refused{refusal_reason::kDataCentreOut, true};
 }
 
 std::optional<instance_name> OwnerAmong(
--- a/Source/Traffic/placement.h
+++ b/Source/Traffic/placement.h
@@ -32,8 +32,9 @@
   instance_name owner;
 };
 struct place_refused {
-  answer_kind kind = answer_kind::kNotRun;
   refusal_reason reason = refusal_reason::kNone;
+  // The flow is given up; otherwise the caller may come back.
+  bool flow_lost = false;
 };
 using placement = std::variant<place_at, place_refused>;
 
@@ -43,8 +44,7 @@
                        flow_id flow);
 
 // Places a packet of an open flow: its token names the data centre.
-placement PlaceEstablished(const placement_view& view, const flow_token& token,
-                           bool may_have_run);
+placement PlaceEstablished(const placement_view& view, const flow_token& token);
 
 // The instance in charge among `instances`, the same for every caller that
 // sees the same ones.
--- a/Source/Traffic/service_shard.cc
+++ b/Source/Traffic/service_shard.cc
@@ -67,7 +67,7 @@
   if (flow == nullptr) {
     if (request != nullptr && !request->repeatable) {
       Refuse(event, request->number, answer_kind::kOutcomeUnknown,
-             refusal_reason::kOwnerChanged);
+             refusal_reason::kTargetLost);
     } else {
       Refuse(event, request == nullptr ? request_number{} : request->number,
              answer_kind::kFlowLost, refusal_reason::kTargetLost);
--- a/Source/Wire/codec.cc
+++ b/Source/Wire/codec.cc
@@ -209,6 +209,7 @@
       static_cast<std::uint32_t>(answer.come_back.count()));
   if (answer.token) message.set_token(EncodeToken(*answer.token));
   message.set_body_hash(StableHash(answer.body));
+  message.set_flow_lost(answer.flow_lost);
   const std::size_t parts = std::max<std::size_t>(
       1, (answer.body.size() + kAnswerPartBytes - 1) / kAnswerPartBytes);
   message.set_parts(static_cast<std::uint32_t>(parts));
--- a/Tools/StandIn/callers.cc
+++ b/Tools/StandIn/callers.cc
@@ -61,6 +61,7 @@
 
 struct totals {
   std::int64_t opened = 0, served = 0, outcome_unknown = 0, flow_lost = 0;
+  std::int64_t reopened = 0;  // Told so while the outcome was unknown.
   std::int64_t not_run = 0, no_answer = 0, wrong_answer = 0, moved = 0;
   std::map<std::string, std::int64_t> reasons;
   std::map<std::string, std::int64_t> served_by_class;
@@ -238,7 +239,16 @@
       Restart(f);
     } else if (answer.kind() == wire::OUTCOME_UNKNOWN) {
       ++totals_.outcome_unknown;
+      if (answer.flow_lost()) {
+        ++totals_.reopened;
+        Restart(f);
+        return;
+      }
       Think(f, f->work->think_ms);
+    } else if (answer.flow_lost()) {
+      ++totals_.not_run;
+      ++totals_.reopened;
+      Restart(f);
     } else {
       ++totals_.not_run;
       Think(f,
@@ -290,6 +300,7 @@
               << ", \"not_run\": " << totals_.not_run
               << ", \"outcome_unknown\": " << totals_.outcome_unknown
               << ", \"flow_lost\": " << totals_.flow_lost
+              << ", \"reopened\": " << totals_.reopened
               << ", \"no_answer\": " << totals_.no_answer
               << ", \"moved\": " << totals_.moved
               << ", \"wrong_answer\": " << totals_.wrong_answer;
