--- a/Source/Node/node.cc
+++ b/Source/Node/node.cc
@@ -11,6 +11,8 @@
 namespace lavendertack {
 namespace {
 
+// Proposals that may wait for their outcome at a time.
+constexpr std::size_t kMaxProposals = 256;
 // Verdicts kept for proposals that are still being answered.
 constexpr std::size_t kKeptVerdicts = 64;
 
@@ -39,7 +41,8 @@
                    const auto verdict =
                        directory_.Check(std::get<change_ticket>(ticket));
                    return std::holds_alternative<ticket_accepted>(verdict);
-                 }) {}
+                 }),
+      relay_(settings_.seed) {}
 
 void node::Restore(const wire::stored_record& record) {
   agreement_.Restore(record);
@@ -65,9 +68,12 @@
                  const packet_origin& origin) {
   const route next = RoutePacket(ViewFor(packet.service), packet, origin);
   if (const auto* refusal = std::get_if<place_refused>(&next)) {
-    Log("entry", "flow " + std::to_string(packet.flow.value) + " refused, " +
-                     std::string(ToString(refusal->reason)));
-    effects_.emplace_back(send_answer{caller, RefusalOf(packet, *refusal)});
+    caller_answer answer = RefusalOf(packet, *refusal);
+    Log("entry",
+        "flow " + std::to_string(packet.flow.value) + " refused, " +
+            std::string(ToString(refusal->reason)),
+        packet.flow, answer.request);
+    effects_.emplace_back(send_answer{caller, std::move(answer)});
   } else if (const auto* hop = std::get_if<hand_on>(&next)) {
     HandOn(*hop, packet, caller);
   } else {
@@ -85,10 +91,11 @@
   forwarded->set_data_centre(next.place.data_centre.value);
   forwarded->set_waited_ms(static_cast<std::uint32_t>(next.waited.count()));
   if (next.hops == 1 && std::holds_alternative<open_flow>(packet.body)) {
-    Log("entry", "flow " + std::to_string(packet.flow.value) + " of " +
-                     packet.service.value + " sent to " +
-                     next.place.owner.value + " in " +
-                     next.place.data_centre.value);
+    Log("entry",
+        "flow " + std::to_string(packet.flow.value) + " of " +
+            packet.service.value + " sent to " + next.place.owner.value +
+            " in " + next.place.data_centre.value,
+        packet.flow);
   }
   effects_.emplace_back(send_peer{next.place.owner, std::move(message)});
 }
@@ -126,6 +133,10 @@
     HandleForwarded(message.packet());
   } else if (message.has_agreement()) {
     RunAgreement(agreement_received{from, message.agreement()});
+  } else if (message.has_ticket_ask()) {
+    HandleTicketAsk(from, message.ticket_ask());
+  } else if (message.has_ticket_reply()) {
+    RunRelay(relay_.Receive(now_, message.ticket_reply(), RelayOrder()));
   } else if (message.has_heartbeat()) {
     membership_.Heard(now_, from, message.heartbeat());
     newest_told_ = std::max(newest_told_.value_or(log_index{}),
@@ -150,18 +161,75 @@
 }
 
 void node::Handle(const ticket_submitted& event) {
-  if (!settings_.replica) {
-    effects_.emplace_back(answer_ticket{event.request, not_a_replica{}});
+  if (settings_.replica) {
+    ProposeTicket(event.request, event.ticket);
+  } else {
+    RunRelay(relay_.Submit(now_, event.request, event.ticket, RelayOrder()));
+  }
+}
+
+void node::HandleTicketAsk(const instance_name& from,
+                           const wire::ticket_ask& message) {
+  auto ticket = DecodeTicket(message.entry());
+  if (!settings_.replica || !std::holds_alternative<change_ticket>(ticket)) {
     return;
   }
+  if (waiting_.size() >= kMaxProposals) return;  // It asks another replica.
+  ProposeTicket(relayed_ticket{from, message.id()},
+                std::get<change_ticket>(ticket));
+}
+
+void node::ProposeTicket(const ticket_origin& origin,
+                         const change_ticket& ticket) {
   const proposal_id id{++proposals_};
-  waiting_[id] = event.request;
-  proposed_[id] = event.ticket;
-  RunAgreement(propose_entry{id, EncodeTicket(event.ticket)});
+  waiting_[id] = origin;
+  proposed_[id] = ticket;
+  RunAgreement(propose_entry{id, EncodeTicket(ticket)});
+}
+
+void node::AnswerProposal(proposal_id id, const ticket_outcome& outcome) {
+  const auto it = waiting_.find(id);
+  CHECK(it != waiting_.end()) << "a proposal was answered twice";
+  if (const auto* request = std::get_if<admin_request>(&it->second)) {
+    effects_.emplace_back(answer_ticket{*request, outcome});
+  } else {
+    const auto& relayed = std::get<relayed_ticket>(it->second);
+    wire::peer_message message = NewPeerMessage();
+    *message.mutable_ticket_reply() = EncodeOutcome(relayed.id, outcome);
+    effects_.emplace_back(send_peer{relayed.from, std::move(message)});
+  }
+  waiting_.erase(it);
+  proposed_.erase(id);
+}
+
+void node::RunRelay(std::vector<relay_effect> effects) {
+  for (relay_effect& effect : effects) {
+    if (auto* answer = std::get_if<answer_ticket>(&effect)) {
+      effects_.emplace_back(std::move(*answer));
+      continue;
+    }
+    auto& relayed = std::get<relay_ticket>(effect);
+    wire::peer_message message = NewPeerMessage();
+    *message.mutable_ticket_ask() = std::move(relayed.message);
+    effects_.emplace_back(send_peer{relayed.to, std::move(message)});
+  }
+}
+
+std::vector<instance_name> node::RelayOrder() const {
+  std::vector<instance_name> order;
+  for (const auto& [name, m] : membership_.members()) {
+    if (m.replica && name != settings_.self) order.push_back(name);
+  }
+  std::stable_partition(order.begin(), order.end(),
+                        [this](const instance_name& name) {
+                          return membership_.IsAlive(now_, name);
+                        });
+  return order;
 }
 
 void node::Handle(const node_tick&) {
   RunAgreement(agreement_tick{});
+  RunRelay(relay_.Tick(now_, RelayOrder()));
   if (!last_heartbeat_ || now_ - *last_heartbeat_ >= kHeartbeatInterval) {
     last_heartbeat_ = now_;
     SendHeartbeats();
@@ -190,20 +258,11 @@
     } else if (auto* chosen = std::get_if<entry_chosen>(&effect)) {
       ApplyChosen(*chosen);
     } else if (auto* done = std::get_if<proposal_chosen>(&effect)) {
-      effects_.emplace_back(
-          answer_ticket{waiting_[done->id], verdicts_.at(done->index)});
-      waiting_.erase(done->id);
-      proposed_.erase(done->id);
+      AnswerProposal(done->id, verdicts_.at(done->index));
     } else if (auto* refused = std::get_if<proposal_refused>(&effect)) {
-      effects_.emplace_back(answer_ticket{
-          waiting_[refused->id], directory_.Check(proposed_.at(refused->id))});
-      waiting_.erase(refused->id);
-      proposed_.erase(refused->id);
+      AnswerProposal(refused->id, directory_.Check(proposed_.at(refused->id)));
     } else if (auto* late = std::get_if<proposal_timed_out>(&effect)) {
-      effects_.emplace_back(
-          answer_ticket{waiting_[late->id], ticket_undecided{}});
-      waiting_.erase(late->id);
-      proposed_.erase(late->id);
+      AnswerProposal(late->id, ticket_undecided{});
     }
   }
 }
@@ -328,8 +387,10 @@
   return message;
 }
 
-void node::Log(std::string part, std::string text) {
-  effects_.emplace_back(log_line{std::move(part), std::move(text)});
+void node::Log(std::string part, std::string text, flow_id flow,
+               request_number request) {
+  effects_.emplace_back(
+      log_line{std::move(part), std::move(text), flow, request});
 }
 
 }  // namespace lavendertack
