--- a/Source/Node/node.cc
+++ b/Source/Node/node.cc
@@ -300,6 +300,7 @@
 }
 
 void node::SendHeartbeats() {
+  ramp_.Learned(now_, directory_.IsOut(settings_.data_centre));
   wire::peer_message message = NewPeerMessage();
   auto* heartbeat = message.mutable_heartbeat();
   heartbeat->set_incarnation(settings_.incarnation);
@@ -310,7 +311,7 @@
     auto* row = heartbeat->add_capacity();
     row->set_service(name.value);
     row->set_data_centre(settings_.data_centre.value);
-    row->set_ready_slots(load.ready_slots);
+    row->set_ready_slots(ramp_.Share(now_, load.ready_slots));
     row->set_busy_slots(load.busy_slots);
     row->set_free_connections(load.free_connections);
   }
--- a/Source/Node/node.h
+++ b/Source/Node/node.h
@@ -14,6 +14,7 @@
 #include "Directory/directory.h"
 #include "Membership/membership.h"
 #include "Node/packet_router.h"
+#include "Node/return_ramp.h"
 #include "Node/ticket_relay.h"
 #include "Traffic/messages.h"
 #include "Traffic/placement.h"
@@ -146,6 +147,7 @@
   std::optional<instant> last_heartbeat_;
   // The newest entry that a peer told of; none before the first heartbeat.
   std::optional<log_index> newest_told_;
+  return_ramp ramp_;
   // For the event that is being reduced.
   instant now_;
   std::vector<node_effect> effects_;
--- /dev/null
+++ b/Source/UnitTests/Node/return_ramp_test.cc
@@ -0,0 +1,37 @@
+#include "Node/return_ramp.h"
+
+#include <catch2/catch.hpp>
+
+namespace lavendertack::testing {
+namespace {
+
+TEST_CASE("a data centre's share of new flows") {
+  return_ramp ramp;
+  const instant start{seconds(50)};
+  ramp.Learned(start, false);
+  SECTION("is whole at once for an instance that starts while it is in") {
+    CHECK(ramp.Share(start, 8) == 8);
+  }
+  SECTION("is nothing while it is out") {
+    ramp.Learned(start, true);
+    CHECK(ramp.Share(start + seconds(100), 8) == 0);
+    SECTION("and grows step by step once it is back") {
+      const instant back = start + seconds(200);
+      ramp.Learned(back, false);
+      CHECK(ramp.Share(back, 8) == 1);
+      CHECK(ramp.Share(back + seconds(15), 8) == 4);
+      CHECK(ramp.Share(back + seconds(29), 8) == 7);
+      CHECK(ramp.Share(back + kReturnRamp, 8) == 8);
+      SECTION("whatever later tickets say again") {
+        ramp.Learned(back + seconds(15), false);
+        CHECK(ramp.Share(back + seconds(15), 8) == 4);
+      }
+      SECTION("and not at all without ready slots") {
+        CHECK(ramp.Share(back + seconds(15), 0) == 0);
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace lavendertack::testing
