--- a/Source/UnitTests/Node/witness.cc
+++ b/Source/UnitTests/Node/witness.cc
@@ -8,6 +8,12 @@
          std::to_string(request.value);
 }
 
+std::string Ms(instant now) {
+  const auto ms =
+      std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
+  return std::to_string(ms.count()) + " ms";
+}
+
 rule NotRunRule(bool repeatable) {
   return repeatable ? rule::kNotRunIsTrueRepeatable : rule::kNotRunIsTrue;
 }
@@ -15,9 +21,7 @@
 }  // namespace
 
 void witness::Broken(rule broken, instant now, const std::string& how) {
-  const auto ms =
-      std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
-  broken_[broken].push_back("at " + std::to_string(ms.count()) + " ms: " + how);
+  broken_[broken].push_back("at " + Ms(now) + ": " + how);
 }
 
 void witness::Ran(instant now, const run_order& order) {
@@ -27,7 +31,13 @@
   if (runs > 1 && !order.repeatable) {
     Broken(rule::kAtMostOnce, now,
            Name(order.flow, order.request) + " ran again at " +
-               order.target.value);
+               order.target.value + " by epoch " +
+               std::to_string(order.epoch.value) + ", first at " +
+               first_run_[key]);
+  }
+  if (runs == 1) {
+    first_run_[key] = order.target.value + " by epoch " +
+                      std::to_string(order.epoch.value) + " at " + Ms(now);
   }
   if (auto told = not_run_.find(key); told != not_run_.end()) {
     Broken(NotRunRule(order.repeatable), now,
--- a/Source/UnitTests/Node/witness.h
+++ b/Source/UnitTests/Node/witness.h
@@ -53,6 +53,7 @@
   std::map<rule, std::vector<std::string>> broken_;
   std::map<request_key, std::uint32_t> runs_;
   std::map<request_key, refusal_reason> not_run_;
+  std::map<request_key, std::string> first_run_;
 };
 
 }  // namespace lavendertack::testing
