--- a/Source/Node/node.h
+++ b/Source/Node/node.h
@@ -14,6 +14,8 @@
 #include "Directory/directory.h"
 #include "Distribution/catch_up.h"
 #include "Membership/membership.h"
+#include "Node/packet_router.h"
+#include "Node/return_ramp.h"
 #include "Node/ticket_relay.h"
 #include "Ownership/ownership.h"
 #include "Ownership/roster_book.h"
@@ -124,13 +126,10 @@
   void Handle(const leave_requested& event);
   void Handle(const node_tick& event);
 
-  void RoutePacket(const caller_packet& packet, const caller_address& caller,
-                   std::uint32_t hops, milliseconds waited);
-  void Forward(const place_at& place, const caller_packet& packet,
-               const caller_address& caller, std::uint32_t hops,
-               milliseconds waited);
-  void RefusePacket(const caller_packet& packet, const caller_address& caller,
-                    const place_refused& refusal);
+  void Route(const caller_packet& packet, const caller_address& caller,
+             const packet_origin& origin);
+  void HandOn(const hand_on& next, const caller_packet& packet,
+              const caller_address& caller);
   void HandleForwarded(const wire::forwarded_packet& message);
   void HandleTicketAsk(const instance_name& from,
                        const wire::ticket_ask& message);
@@ -158,8 +157,9 @@
   bool IsInternalProposal(const agreement_effect& effect) const;
   bool Admits(const std::string& value) const;
   bool IsCurrent() const { return catch_up_.IsCurrent(directory_.applied()); }
+  void MarkLostFlow(caller_answer* answer) const;
   void SendHeartbeats();
-  placement_view ViewFor(const service_name& service) const;
+  routing_view ViewFor(const service_name& service) const;
   shard_view ShardViewFor(const service_name& service) const;
   std::optional<instance_name> OwnerOf(const service_name& service,
                                        const data_centre_name& name) const;
@@ -186,6 +186,9 @@
   bool leaving_ = false;
   bool roster_applied_ = false;  // By the event that is being reduced.
   std::optional<instant> last_heartbeat_;
+  // The newest entry that a peer told of; none before the first heartbeat.
+  std::optional<log_index> newest_told_;
+  return_ramp ramp_;
   // For the event that is being reduced.
   instant now_;
   std::vector<node_effect> effects_;
--- a/Source/Traffic/messages.cc
+++ b/Source/Traffic/messages.cc
@@ -2,6 +2,12 @@
 
 namespace lavendertack {
 
+bool EndsFlow(answer_kind kind, refusal_reason reason) {
+  return kind == answer_kind::kFlowLost ||
+         reason == refusal_reason::kDataCentreOut ||
+         reason == refusal_reason::kFlowUnknown;
+}
+
 std::string_view ToString(answer_kind kind) {
   switch (kind) {
     case answer_kind::kOpened:
@@ -54,6 +60,10 @@
       return "draining";
     case refusal_reason::kBadAnswer:
       return "bad answer";
+    case refusal_reason::kNotCurrent:
+      return "not current";
+    case refusal_reason::kFlowUnknown:
+      return "flow unknown";
   }
   return "invalid";
 }
--- a/Source/Traffic/messages.h
+++ b/Source/Traffic/messages.h
@@ -88,6 +88,8 @@
   kTooOld = 13,
   kDraining = 14,
   kBadAnswer = 15,
+  kNotCurrent = 20,
+  kFlowUnknown = 21,
 };
 
 struct caller_answer {
@@ -98,6 +100,8 @@
   milliseconds come_back{0};  // Of a refusal: when to try again.
   std::optional<flow_token> token;
   std::string body;
+  // The flow is given up: the caller opens a new one.
+  bool flow_lost = false;
 };
 
 // Values are those of wire::target_state.
@@ -139,6 +143,10 @@
   std::string body;
 };
 
+// The answer means that its flow is given up: its data centre is out, or its
+// owner doesn't know it any more.
+bool EndsFlow(answer_kind kind, refusal_reason reason);
+
 std::string_view ToString(answer_kind kind);
 std::string_view ToString(refusal_reason reason);
 std::string_view ToString(target_state state);
--- a/Source/Traffic/service_shard.cc
+++ b/Source/Traffic/service_shard.cc
@@ -198,7 +198,7 @@
   const auto* request = RequestIn(event.packet);
   if (request != nullptr && !request->repeatable) {
     RefusePacket(event, answer_kind::kOutcomeUnknown,
-                 refusal_reason::kOwnerChanged);
+                 refusal_reason::kFlowUnknown);
     return;
   }
   RefusePacket(event, answer_kind::kFlowLost, refusal_reason::kTargetLost);
