Agreement: voters as agreed state, each with the life of its disk

Cause: votes were counted by name, so a replica with an empty disk voted as its old self; the log grew without bound in memory and on disk; a failed sync ended the process, and traffic with it; an entry whose proposer died right after its answer was put in force nowhere until the next proposal; equal proposals that weren't at the front were proposed twice; a resend of an accepted ticket made a second entry; tickets could name data centres in which no instance lives; replies to proposals read verdicts that could be gone.

Now the voters are names with storage ids, set by the first entry (which takes all founders) and by replica changes; each message carries the sender's storage id. A replica that can't sync votes no more and goes on with traffic. Node has the event replica_change_submitted.

--- a/Source/Common/strong_type.h
+++ b/Source/Common/strong_type.h
@@ -41,6 +41,8 @@
 using ticket_number = strong_type<struct ticket_number_tag, std::uint64_t>;
 // Position in the agreed log; the first entry is 1, 0 means none.
 using log_index = strong_type<struct log_index_tag, std::uint64_t>;
+// One life of a replica's disk; a lost disk comes back with another. 0 is none.
+using storage_id = strong_type<struct storage_id_tag, std::uint64_t>;
 // Price of a service class per request; a higher price is served first.
 using class_price = strong_type<struct class_price_tag, std::uint32_t>;
 
--- a/Source/Directory/directory.cc
+++ b/Source/Directory/directory.cc
@@ -2,9 +2,7 @@
 
 #include <glog/logging.h>
 
-#include <set>
-
-#include "Common/hash.h"
+#include <algorithm>
 
 namespace lavendertack {
 namespace {
@@ -25,8 +23,9 @@
 
 ticket_verdict directory::Check(const change_ticket& ticket) const {
   if (auto it = accepted_.find(ticket.number); it != accepted_.end()) {
-    const std::uint64_t digest = StableHash(EncodeTicket(ticket));
-    if (it->second.digest == digest) return ticket_accepted{it->second.index};
+    if (it->second.content == StableDigest(EncodeTicket(ticket))) {
+      return ticket_accepted{it->second.index};
+    }
     return ticket_conflict{ticket.number, it->second.index};
   }
   if (ticket.number <= newest()) return ticket_outdated{newest()};
@@ -40,9 +39,13 @@
   const auto* accepted = std::get_if<ticket_accepted>(&verdict);
   applied_ = index;
   if (accepted == nullptr || accepted->index != index) return verdict;
-  std::string encoded = EncodeTicket(ticket);
-  const std::uint64_t digest = StableHash(encoded);
-  accepted_[ticket.number] = {digest, index, std::move(encoded)};
+  accepted_[ticket.number] = {StableDigest(EncodeTicket(ticket)), index};
+  if (accepted_.size() > kKeptTickets) accepted_.erase(accepted_.begin());
+  ApplyObjects(ticket);
+  return verdict;
+}
+
+void directory::ApplyObjects(const change_ticket& ticket) {
   for (const service_spec& spec : ticket.services) {
     if (spec.removed) {
       services_.erase(spec.name);
@@ -60,9 +63,108 @@
   for (const data_centre_spec& spec : ticket.data_centres) {
     Replace(&data_centres_, spec);
   }
+}
+
+replica_verdict directory::Check(const replica_change& change) const {
+  const bool enters = !change.added.value.empty();
+  const bool leaves = !change.removed.value.empty();
+  if (!enters && !leaves) return replicas_refused{"names no instance"};
+  replica_set after = replicas_;
+  if (leaves && change.removed != change.added) after.erase(change.removed);
+  if (enters) after[change.added] = change.added_storage;
+  if (after == replicas_) return replicas_in_force{};
+  if (leaves && !IsVoter(replicas_, change.removed, change.removed_storage)) {
+    return replicas_refused{change.removed.value +
+                            " isn't a replica with that disk"};
+  }
+  if (enters && change.added_storage.value == 0) {
+    return replicas_refused{"the disk of " + change.added.value +
+                            " isn't known"};
+  }
+  if (enters && change.added != change.removed &&
+      replicas_.contains(change.added)) {
+    return replicas_refused{change.added.value + " is a replica already"};
+  }
+  if (after.size() < std::min(kMinReplicas, replicas_.size())) {
+    return replicas_refused{"fewer than 3 replicas would be left"};
+  }
+  if (after.size() > kMaxReplicas) {
+    return replicas_refused{"there would be more than 7 replicas"};
+  }
+  return replicas_changed{};
+}
+
+replica_verdict directory::Apply(log_index index,
+                                 const replica_change& change) {
+  Skip(index);
+  replica_verdict verdict = Check(change);
+  if (!std::holds_alternative<replicas_changed>(verdict)) return verdict;
+  if (change.removed != change.added) replicas_.erase(change.removed);
+  if (!change.added.value.empty()) {
+    replicas_[change.added] = change.added_storage;
+  }
   return verdict;
 }
 
+void directory::Apply(log_index index, const founding_entry& founding) {
+  CHECK_EQ(index.value, 1) << "founding comes first";
+  Skip(index);
+  replicas_ = founding.replicas;
+  for (const data_centre_name& name : founding.data_centres) {
+    AddDataCentre(name);
+  }
+}
+
+void directory::AddDataCentre(const data_centre_name& name) {
+  known_data_centres_.insert(name);
+}
+
+wire::directory_state directory::Save() const {
+  wire::directory_state state;
+  state.set_applied(applied_.value);
+  for (const auto& [number, ticket] : accepted_) {
+    auto* row = state.add_accepted();
+    row->set_number(number.value);
+    row->set_digest_high(ticket.content.high);
+    row->set_digest_low(ticket.content.low);
+    row->set_index(ticket.index.value);
+  }
+  change_ticket objects;
+  for (const auto& [name, spec] : services_) objects.services.push_back(spec);
+  for (const auto& [name, spec] : classes_) objects.classes.push_back(spec);
+  for (const auto& [name, spec] : data_centres_) {
+    objects.data_centres.push_back(spec);
+  }
+  state.set_objects(EncodeTicket(objects));
+  for (const auto& [name, storage] : replicas_) {
+    auto* replica = state.add_replicas();
+    replica->set_name(name.value);
+    replica->set_storage_id(storage.value);
+  }
+  for (const data_centre_name& name : known_data_centres_) {
+    state.add_data_centres(name.value);
+  }
+  return state;
+}
+
+void directory::Load(const wire::directory_state& state) {
+  CHECK_GE(state.applied(), applied_.value) << "the state never goes back";
+  const auto objects = DecodeTicket(state.objects());
+  CHECK(std::holds_alternative<change_ticket>(objects)) << "unreadable state";
+  *this = directory();
+  applied_ = {state.applied()};
+  for (const wire::accepted_row& row : state.accepted()) {
+    accepted_[{row.number()}] = {
+        .content = {.high = row.digest_high(), .low = row.digest_low()},
+        .index = {row.index()}};
+  }
+  ApplyObjects(std::get<change_ticket>(objects));
+  for (const wire::replica& replica : state.replicas()) {
+    replicas_[{replica.name()}] = {replica.storage_id()};
+  }
+  for (const std::string& name : state.data_centres()) AddDataCentre({name});
+}
+
 void directory::Skip(log_index index) {
   CHECK_EQ(index.value, applied_.value + 1) << "entries are applied in order";
   applied_ = index;
@@ -92,6 +194,11 @@
 
 std::optional<ticket_error> directory::CheckReferences(
     const change_ticket& ticket) const {
+  for (const data_centre_spec& spec : ticket.data_centres) {
+    if (known_data_centres_.contains(spec.name)) continue;
+    return ticket_error{"data_centres",
+                        "unknown data centre " + spec.name.value};
+  }
   std::set<class_name> classes;
   for (const auto& [name, spec] : classes_) classes.insert(name);
   for (std::size_t i = 0; i < ticket.classes.size(); ++i) {
--- a/Source/Directory/directory.h
+++ b/Source/Directory/directory.h
@@ -5,13 +5,25 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 
+#include "Common/hash.h"
+#include "Common/replica_set.h"
+#include "Directory/log_entry.h"
 #include "Directory/ticket.h"
+#include "Wire/lavendertack.pb.h"
 
 namespace lavendertack {
 
+// Accepted tickets that are remembered, by the highest numbers: a resend within
+// so many tickets gets the first answer, a later one is outdated.
+inline constexpr std::size_t kKeptTickets = 8192;
+// Fewest and most voters that a change may leave.
+inline constexpr std::size_t kMinReplicas = 3;
+inline constexpr std::size_t kMaxReplicas = 7;
+
 // The ticket is in the directory, by the entry at `index`. A resend of an
 // accepted ticket gets the same answer as the first time.
 struct ticket_accepted {
@@ -35,11 +47,20 @@
                                     ticket_outdated, ticket_invalid>;
 
 struct accepted_ticket {
-  std::uint64_t digest = 0;  // Hash of the encoded ticket.
+  digest content;  // Of the encoded ticket.
   log_index index;
-  std::string encoded;
 };
 
+// What a change of the voters would do as the next entry.
+struct replicas_changed {};
+// The voters are already as the change leaves them, as after a resend.
+struct replicas_in_force {};
+struct replicas_refused {
+  std::string reason;
+};
+using replica_verdict =
+    std::variant<replicas_changed, replicas_in_force, replicas_refused>;
+
 class directory {
  public:
   // The verdict that `ticket` would get as the next entry. Changes nothing.
@@ -49,6 +70,20 @@
   // Returns the verdict; only an accepted ticket changes objects.
   ticket_verdict Apply(log_index index, const change_ticket& ticket);
 
+  // The same for a change of the voters. One that is refused changes nothing.
+  replica_verdict Check(const replica_change& change) const;
+  replica_verdict Apply(log_index index, const replica_change& change);
+
+  // Applies the first entry.
+  void Apply(log_index index, const founding_entry& founding);
+
+  // Tickets may name the data centre from now on.
+  void AddDataCentre(const data_centre_name& name);
+
+  // The whole state, and back.
+  wire::directory_state Save() const;
+  void Load(const wire::directory_state& state);
+
   // Counts an agreed entry at `index` that changes no object.
   void Skip(log_index index);
 
@@ -60,6 +95,11 @@
   const data_centre_spec* FindDataCentre(const data_centre_name& name) const;
   bool IsOut(const data_centre_name& name) const;
 
+  // Empty before the first entry.
+  const replica_set& replicas() const { return replicas_; }
+  const std::set<data_centre_name>& known_data_centres() const {
+    return known_data_centres_;
+  }
   const std::map<service_name, service_spec>& services() const {
     return services_;
   }
@@ -75,7 +115,11 @@
   std::optional<ticket_error> CheckReferences(
       const change_ticket& ticket) const;
 
+  void ApplyObjects(const change_ticket& ticket);
+
   log_index applied_;
+  replica_set replicas_;
+  std::set<data_centre_name> known_data_centres_;
   std::map<ticket_number, accepted_ticket> accepted_;
   std::map<service_name, service_spec> services_;
   std::map<class_name, class_spec> classes_;
--- a/Source/Directory/log_entry.cc
+++ b/Source/Directory/log_entry.cc
@@ -24,9 +24,21 @@
     return change;
   }
   if (entry.has_replicas()) {
-    return replica_change{.removed = {entry.replicas().removed()},
-                          .added = {entry.replicas().added()},
-                          .added_storage = entry.replicas().added_storage()};
+    const wire::replica_change& change = entry.replicas();
+    return replica_change{.removed = {change.removed()},
+                          .removed_storage = {change.removed_storage()},
+                          .added = {change.added()},
+                          .added_storage = {change.added_storage()}};
+  }
+  if (entry.has_founding()) {
+    founding_entry founding;
+    for (const wire::replica& replica : entry.founding().replicas()) {
+      founding.replicas[{replica.name()}] = {replica.storage_id()};
+    }
+    for (const std::string& name : entry.founding().data_centres()) {
+      founding.data_centres.push_back({name});
+    }
+    return founding;
   }
   return std::nullopt;
 }
@@ -46,8 +58,22 @@
   wire::log_entry entry;
   auto* replicas = entry.mutable_replicas();
   replicas->set_removed(change.removed.value);
+  replicas->set_removed_storage(change.removed_storage.value);
   replicas->set_added(change.added.value);
-  replicas->set_added_storage(change.added_storage);
+  replicas->set_added_storage(change.added_storage.value);
+  return entry.SerializeAsString();
+}
+
+std::string EncodeEntry(const founding_entry& founding) {
+  wire::log_entry entry;
+  for (const auto& [name, storage] : founding.replicas) {
+    auto* replica = entry.mutable_founding()->add_replicas();
+    replica->set_name(name.value);
+    replica->set_storage_id(storage.value);
+  }
+  for (const data_centre_name& name : founding.data_centres) {
+    entry.mutable_founding()->add_data_centres(name.value);
+  }
   return entry.SerializeAsString();
 }
 
--- a/Source/Directory/log_entry.h
+++ b/Source/Directory/log_entry.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "Common/replica_set.h"
 #include "Directory/ticket.h"
 
 namespace lavendertack {
@@ -21,19 +22,29 @@
   log_index based_on;
 };
 
-// One voter leaves, another one enters; an empty name means none.
+// One voter leaves, another one enters; an empty name means none. Both may have
+// one name: the same instance with another disk.
 struct replica_change {
   instance_name removed;
+  storage_id removed_storage;
   instance_name added;
-  std::uint64_t added_storage = 0;  // Life of the new voter's disk.
+  storage_id added_storage;
 };
 
-using log_entry = std::variant<change_ticket, roster_change, replica_change>;
+// The first entry of every log.
+struct founding_entry {
+  replica_set replicas;
+  std::vector<data_centre_name> data_centres;
+};
+
+using log_entry =
+    std::variant<change_ticket, roster_change, replica_change, founding_entry>;
 
 // Nothing when the bytes are no entry of a known kind.
 std::optional<log_entry> DecodeEntry(std::string_view bytes);
 std::string EncodeEntry(const roster_change& change);
 std::string EncodeEntry(const replica_change& change);
+std::string EncodeEntry(const founding_entry& founding);
 
 }  // namespace lavendertack
 
--- a/Source/Node/node.cc
+++ b/Source/Node/node.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <set>
 
+#include "Common/hash.h"
 #include "Directory/log_entry.h"
 #include "Wire/codec.h"
 
@@ -17,16 +18,23 @@
 constexpr milliseconds kComeBack{500};
 // Proposals that may wait for their outcome at a time.
 constexpr std::size_t kMaxProposals = 256;
-// Verdicts kept for proposals that are still being answered.
-constexpr std::size_t kKeptVerdicts = 64;
+
+// Another one for each start, for the case that the disk is empty.
+storage_id FreshStorage(const node_settings& settings) {
+  const std::uint64_t hash =
+      StableHash(settings.self.value, settings.seed + settings.incarnation);
+  return {std::max<std::uint64_t>(hash, 1)};
+}
 
 agreement_settings AgreementSettings(const node_settings& settings) {
   agreement_settings result{.self = settings.self,
                             .replica = settings.replica,
-                            .replicas = {},
-                            .seed = settings.seed};
+                            .founders = {},
+                            .fresh_storage = FreshStorage(settings),
+                            .seed = settings.seed,
+                            .limits = settings.limits};
   for (const member& m : settings.members) {
-    if (m.replica) result.replicas.push_back(m.name);
+    if (m.replica) result.founders.push_back(m.name);
   }
   return result;
 }
@@ -41,25 +49,41 @@
 node::node(node_settings settings)
     : settings_(std::move(settings)),
       membership_(settings_.self, settings_.members),
-      agreement_(AgreementSettings(settings_),
-                 [this](const std::string& value) {
-                   auto ticket = DecodeTicket(value);
-                   if (!std::holds_alternative<change_ticket>(ticket)) {
-                     return false;
-                   }
-                   const auto verdict =
-                       directory_.Check(std::get<change_ticket>(ticket));
-                   return std::holds_alternative<ticket_accepted>(verdict);
-                 }),
+      agreement_(AgreementSettings(settings_), AgreementHooks()),
       relay_(settings_.seed) {}
 
+agreement_hooks node::AgreementHooks() {
+  return {
+      .admit = [this](const std::string& value) { return Admits(value); },
+      .apply = [this](log_index index,
+                      const std::string& value) { ApplyChosen(index, value); },
+      .voters = [this]() -> const replica_set& {
+        return directory_.replicas();
+      },
+      .found =
+          [this](const replica_set& voters) {
+            std::set<data_centre_name> names;
+            for (const member& m : settings_.members) {
+              names.insert(m.data_centre);
+            }
+            return EncodeEntry(
+                founding_entry{voters, {names.begin(), names.end()}});
+          },
+      .founded = [](const std::string& value) -> replica_set {
+        const auto entry = DecodeEntry(value);
+        if (!entry) return {};
+        const auto* founding = std::get_if<founding_entry>(&*entry);
+        return founding == nullptr ? replica_set{} : founding->replicas;
+      },
+      .save = [this] { return SaveState(); },
+      .load = [this](const std::string& state) { LoadState(state); },
+  };
+}
+
 void node::Restore(const wire::stored_record& record) {
   agreement_.Restore(record);
-  if (!record.has_chosen()) return;
-  for (const std::string& value : record.chosen().values()) {
-    ApplyChosen({log_index{directory_.applied().value + 1}, value});
-  }
   effects_.clear();
+  verdicts_.clear();
 }
 
 std::vector<node_effect> node::Reduce(instant now, const node_event& event) {
@@ -202,7 +226,7 @@
 }
 
 void node::Handle(const ticket_submitted& event) {
-  if (settings_.replica) {
+  if (agreement_.IsVoting()) {
     ProposeTicket(event.request, event.ticket);
   } else {
     RunRelay(relay_.Submit(now_, event.request, event.ticket, RelayOrder()));
@@ -212,7 +236,8 @@
 void node::HandleTicketAsk(const instance_name& from,
                            const wire::ticket_ask& message) {
   auto ticket = DecodeTicket(message.entry());
-  if (!settings_.replica || !std::holds_alternative<change_ticket>(ticket)) {
+  if (!agreement_.IsVoting() ||
+      !std::holds_alternative<change_ticket>(ticket)) {
     return;
   }
   if (waiting_.size() >= kMaxProposals) return;  // It asks another replica.
@@ -270,6 +295,7 @@
 
 void node::Handle(const node_tick&) {
   RunAgreement(agreement_tick{});
+  ConfirmReplicaChanges();
   RunRelay(relay_.Tick(now_, RelayOrder()));
   if (!last_heartbeat_ || now_ - *last_heartbeat_ >= kHeartbeatInterval) {
     last_heartbeat_ = now_;
@@ -296,30 +322,170 @@
       wire::peer_message message = NewPeerMessage();
       *message.mutable_agreement() = std::move(send->message);
       effects_.emplace_back(send_peer{send->to, std::move(message)});
-    } else if (auto* chosen = std::get_if<entry_chosen>(&effect)) {
-      ApplyChosen(*chosen);
+    } else if (auto* rewrite = std::get_if<rewrite_records>(&effect)) {
+      effects_.emplace_back(std::move(*rewrite));
+    } else if (auto* stuck = std::get_if<founding_stuck>(&effect)) {
+      Log("agreement",
+          "the first entry can't be agreed on, " + stuck->replica.value +
+              " lost its disk; stop all replicas, empty their data folders");
     } else if (auto* done = std::get_if<proposal_chosen>(&effect)) {
-      AnswerProposal(done->id, verdicts_.at(done->index));
+      EndProposal(done->id, done->index);
     } else if (auto* refused = std::get_if<proposal_refused>(&effect)) {
-      AnswerProposal(refused->id, directory_.Check(proposed_.at(refused->id)));
+      EndProposal(refused->id, std::nullopt);
     } else if (auto* late = std::get_if<proposal_timed_out>(&effect)) {
-      AnswerProposal(late->id, ticket_undecided{});
+      GiveUpProposal(late->id);
     }
   }
+  verdicts_.clear();
 }
 
-void node::ApplyChosen(const entry_chosen& entry) {
-  const auto content = DecodeEntry(entry.value);
-  CHECK(content) << "entry " << entry.index << " is of no known kind";
-  const auto* ticket = std::get_if<change_ticket>(&*content);
-  if (ticket == nullptr) {
-    directory_.Skip(entry.index);
+void node::EndProposal(proposal_id id, std::optional<log_index> chosen) {
+  if (replica_changes_.Contains(id)) {
+    EndReplicaChange(id);
+  } else if (auto it = proposed_.find(id); it != proposed_.end()) {
+    AnswerProposal(
+        id, chosen ? verdicts_.at(*chosen) : directory_.Check(it->second));
+  }
+}
+
+void node::GiveUpProposal(proposal_id id) {
+  if (replica_changes_.Contains(id)) {
+    effects_.emplace_back(answer_replica_change{replica_changes_.Take(id),
+                                                replica_change_undecided{}});
+  } else if (proposed_.contains(id)) {
+    AnswerProposal(id, ticket_undecided{});
+  }
+}
+
+void node::Handle(const storage_failed&) {
+  Log("storage", "a record could not be synced; this replica votes no more");
+  RunAgreement(storage_failed{});
+}
+
+void node::Handle(const replica_change_submitted& event) {
+  const auto answer = [&](replica_change_outcome outcome) {
+    effects_.emplace_back(
+        answer_replica_change{event.request, std::move(outcome)});
+  };
+  if (!agreement_.IsVoting() || directory_.replicas().empty()) {
+    answer(replica_change_refused{"this instance is no voting replica"});
     return;
   }
-  verdicts_[entry.index] = directory_.Apply(entry.index, *ticket);
-  if (verdicts_.size() > kKeptVerdicts) verdicts_.erase(verdicts_.begin());
-  Log("ticket", "ticket " + std::to_string(ticket->number.value) +
-                    " in force as entry " + std::to_string(entry.index.value));
+  const replica_change change = CompleteChange(event);
+  const replica_verdict verdict = directory_.Check(change);
+  if (const auto* refused = std::get_if<replicas_refused>(&verdict)) {
+    answer(replica_change_refused{refused->reason});
+  } else if (std::holds_alternative<replicas_in_force>(verdict)) {
+    replica_changes_.InForce(now_, event.request, directory_.applied());
+  } else if (!IsCaughtUp(change)) {
+    answer(replica_change_refused{change.added.value +
+                                  " hasn't got every entry yet"});
+  } else {
+    const proposal_id id{++proposals_};
+    replica_changes_.Proposed(event.request, id, change);
+    RunAgreement(propose_entry{id, EncodeEntry(change)});
+  }
+}
+
+replica_change node::CompleteChange(
+    const replica_change_submitted& event) const {
+  replica_change change{.removed = event.removed,
+                        .removed_storage = {},
+                        .added = event.added,
+                        .added_storage = {}};
+  const replica_set& voters = directory_.replicas();
+  if (auto it = voters.find(event.removed); it != voters.end()) {
+    change.removed_storage = it->second;
+  }
+  if (const auto progress = agreement_.ProgressOf(event.added)) {
+    change.added_storage = progress->storage;
+  }
+  return change;
+}
+
+bool node::IsCaughtUp(const replica_change& change) const {
+  if (change.added.value.empty()) return true;
+  const auto progress = agreement_.ProgressOf(change.added);
+  return progress && progress->chosen >= agreement_.chosen_index();
+}
+
+void node::EndReplicaChange(proposal_id id) {
+  const replica_verdict verdict = directory_.Check(replica_changes_.At(id));
+  const admin_request request = replica_changes_.Take(id);
+  if (std::holds_alternative<replicas_in_force>(verdict)) {
+    replica_changes_.InForce(now_, request, directory_.applied());
+    return;
+  }
+  const auto* refused = std::get_if<replicas_refused>(&verdict);
+  effects_.emplace_back(answer_replica_change{
+      request,
+      replica_change_refused{refused == nullptr ? "another change came before"
+                                                : refused->reason}});
+}
+
+void node::ConfirmReplicaChanges() {
+  const auto is_held = [this](log_index index) {
+    return agreement_.IsHeldByMajority(index);
+  };
+  for (answer_replica_change& answer : replica_changes_.Tick(now_, is_held)) {
+    effects_.emplace_back(std::move(answer));
+  }
+}
+
+bool node::Admits(const std::string& value) const {
+  const auto entry = DecodeEntry(value);
+  if (!entry) return false;
+  if (const auto* ticket = std::get_if<change_ticket>(&*entry)) {
+    const auto verdict = directory_.Check(*ticket);
+    const auto* accepted = std::get_if<ticket_accepted>(&verdict);
+    // A resend of an accepted one makes no second entry.
+    return accepted != nullptr && accepted->index > directory_.applied();
+  }
+  if (const auto* change = std::get_if<replica_change>(&*entry)) {
+    return std::holds_alternative<replicas_changed>(directory_.Check(*change));
+  }
+  return true;
+}
+
+void node::ApplyChosen(log_index index, const std::string& value) {
+  const auto entry = DecodeEntry(value);
+  CHECK(entry) << "entry " << index << " is of no known kind";
+  std::visit([&](const auto& e) { ApplyEntry(index, e); }, *entry);
+}
+
+void node::ApplyEntry(log_index index, const change_ticket& ticket) {
+  const ticket_verdict verdict = directory_.Apply(index, ticket);
+  verdicts_.emplace(index, verdict);
+  const auto* accepted = std::get_if<ticket_accepted>(&verdict);
+  if (accepted == nullptr || accepted->index != index) return;
+  Log("ticket", "ticket " + std::to_string(ticket.number.value) +
+                    " in force as entry " + std::to_string(index.value));
+}
+
+void node::ApplyEntry(log_index index, const roster_change& change) {
+  directory_.Skip(index);
+  directory_.AddDataCentre(change.data_centre);
+}
+
+void node::ApplyEntry(log_index index, const replica_change& change) {
+  directory_.Apply(index, change);
+  Log("agreement", "replicas changed by entry " + std::to_string(index.value));
+}
+
+void node::ApplyEntry(log_index index, const founding_entry& founding) {
+  directory_.Apply(index, founding);
+}
+
+std::string node::SaveState() const {
+  wire::node_state state;
+  *state.mutable_directory() = directory_.Save();
+  return state.SerializeAsString();
+}
+
+void node::LoadState(const std::string& bytes) {
+  wire::node_state state;
+  CHECK(state.ParseFromString(bytes)) << "unreadable snapshot";
+  directory_.Load(state.directory());
 }
 
 void node::RunShard(const service_name& name, const shard_event& event) {
--- a/Source/Node/node.h
+++ b/Source/Node/node.h
@@ -13,6 +13,7 @@
 #include "Agreement/agreement.h"
 #include "Directory/directory.h"
 #include "Membership/membership.h"
+#include "Node/replica_changes.h"
 #include "Node/ticket_relay.h"
 #include "Traffic/messages.h"
 #include "Traffic/placement.h"
@@ -28,6 +29,7 @@
   std::vector<member> members;
   std::uint64_t incarnation = 0;  // Rises with every start.
   std::uint64_t seed = 0;
+  log_limits limits;
 };
 
 // Events.
@@ -56,7 +58,8 @@
 struct node_tick {};
 using node_event =
     std::variant<caller_spoke, target_announced, target_answered,
-                 target_unreachable, peer_spoke, ticket_submitted, node_tick>;
+                 target_unreachable, peer_spoke, ticket_submitted,
+                 replica_change_submitted, storage_failed, node_tick>;
 
 // Effects, besides those of the parts.
 struct send_peer {
@@ -69,7 +72,8 @@
   std::string text;
 };
 using node_effect = std::variant<send_answer, send_run, send_cancel, send_peer,
-                                 persist_record, answer_ticket, log_line>;
+                                 persist_record, rewrite_records, answer_ticket,
+                                 answer_replica_change, log_line>;
 
 class node {
  public:
@@ -86,6 +90,7 @@
     return shards_;
   }
   const node_settings& settings() const { return settings_; }
+  const agreement& agreed_log() const { return agreement_; }
 
  private:
   // Who waits for the outcome of a ticket: an operator's request here, or
@@ -102,6 +107,8 @@
   void Handle(const target_unreachable& event);
   void Handle(const peer_spoke& event);
   void Handle(const ticket_submitted& event);
+  void Handle(const replica_change_submitted& event);
+  void Handle(const storage_failed& event);
   void Handle(const node_tick& event);
 
   void RoutePacket(const caller_packet& packet, const caller_address& caller,
@@ -120,7 +127,21 @@
   // The replicas in the order in which a ticket is passed on to them.
   std::vector<instance_name> RelayOrder() const;
   void RunAgreement(const agreement_event& event);
-  void ApplyChosen(const entry_chosen& entry);
+  agreement_hooks AgreementHooks();
+  bool Admits(const std::string& value) const;
+  void ApplyChosen(log_index index, const std::string& value);
+  void ApplyEntry(log_index index, const change_ticket& ticket);
+  void ApplyEntry(log_index index, const roster_change& change);
+  void ApplyEntry(log_index index, const replica_change& change);
+  void ApplyEntry(log_index index, const founding_entry& founding);
+  std::string SaveState() const;
+  void LoadState(const std::string& bytes);
+  replica_change CompleteChange(const replica_change_submitted& event) const;
+  void EndReplicaChange(proposal_id id);
+  void ConfirmReplicaChanges();
+  bool IsCaughtUp(const replica_change& change) const;
+  void EndProposal(proposal_id id, std::optional<log_index> chosen);
+  void GiveUpProposal(proposal_id id);
   void RunShard(const service_name& name, const shard_event& event);
   void SendHeartbeats();
   placement_view ViewFor(const service_name& service) const;
@@ -139,7 +160,9 @@
   ticket_relay relay_;
   std::map<proposal_id, ticket_origin> waiting_;
   std::map<proposal_id, change_ticket> proposed_;
+  // Of the entries that this event's agreement has chosen.
   std::map<log_index, ticket_verdict> verdicts_;
+  replica_changes replica_changes_;
   std::uint64_t proposals_ = 0;
   std::uint64_t shard_epochs_ = 0;
   std::optional<instant> last_heartbeat_;
--- a/Source/Runtime/instance_loop.cc
+++ b/Source/Runtime/instance_loop.cc
@@ -129,10 +129,6 @@
       return instance_error{error->path + ": " + error->reason};
     }
     const auto& found = std::get<opened_log>(opened);
-    if (found.read_only) {
-      return instance_error{found.read_only->path + ": " +
-                            found.read_only->reason};
-    }
     if (found.torn_bytes > 0) {
       LOG(WARNING) << "storage: cut " << found.torn_bytes << " torn bytes";
     }
@@ -143,6 +139,7 @@
       }
       node_.Restore(record);
     }
+    if (found.read_only) FailStorage(*found.read_only);
     LOG(INFO) << "storage: " << found.records.size() << " records, entry "
               << node_.agreed().applied();
     return std::nullopt;
@@ -224,12 +221,19 @@
     for (node_effect& effect : node_.Reduce(Now(), event)) {
       std::visit([this](auto& e) { Carry(e); }, effect);
     }
+    if (std::exchange(storage_failed_now_, false)) Dispatch(storage_failed{});
     std::vector<target_connection> gone = std::exchange(unreachable_, {});
     for (target_connection& connection : gone) {
       Dispatch(target_unreachable{std::move(connection)});
     }
   }
 
+  // Until the reducer knows, nothing leaves that may rest on the lost record.
+  void FailStorage(const storage_error& error) {
+    LOG(ERROR) << "storage: " << error.path << ": " << error.reason;
+    storage_failed_now_ = true;
+  }
+
   void Carry(const send_answer& effect) {
     for (const std::string& datagram : EncodeAnswer(effect.answer)) {
       callers_.Send(effect.to, datagram);
@@ -244,21 +248,36 @@
     targets_.Send(effect.to, EncodeCancel(effect.attempt));
   }
   void Carry(const send_peer& effect) {
+    if (storage_failed_now_) return;
     peers_.Send(effect.to, effect.message);
   }
   void Carry(const persist_record& effect) {
-    if (settings_.data_folder.empty()) return;
+    if (settings_.data_folder.empty() || storage_failed_now_) return;
     auto written = log_.Append(effect.record.SerializeAsString());
     if (const auto* error = std::get_if<storage_error>(&written)) {
-      LOG(FATAL) << "storage: " << error->path << ": " << error->reason;
+      FailStorage(*error);
+    }
+  }
+  void Carry(const rewrite_records& effect) {
+    if (settings_.data_folder.empty() || storage_failed_now_) return;
+    std::vector<std::string> records;
+    for (const wire::stored_record& record : effect.records) {
+      records.push_back(record.SerializeAsString());
+    }
+    auto written = log_.Rewrite(records);
+    if (const auto* error = std::get_if<storage_error>(&written)) {
+      FailStorage(*error);
     }
   }
   void Carry(const answer_ticket& effect) {
     auto it = waiting_.find(effect.request);
     if (it == waiting_.end()) return;
-    it->second(DescribeOutcome(effect.outcome));
+    it->second(DescribeOutcome(storage_failed_now_ ? ticket_undecided{}
+                                                   : effect.outcome));
     waiting_.erase(it);
   }
+  // No operators' request makes one yet.
+  void Carry(const answer_replica_change&) {}
   void Carry(const log_line& effect) {
     LOG(INFO) << effect.part << ": " << effect.text;
   }
@@ -276,6 +295,7 @@
   std::map<admin_request, admin_queue::answer_function> waiting_;
   std::uint64_t admin_requests_ = 0;
   std::uint64_t bad_datagrams_ = 0;
+  bool storage_failed_now_ = false;  // The reducer is still to be told.
   std::vector<target_connection> unreachable_;
 };
 
--- a/Source/Storage/record_log.cc
+++ b/Source/Storage/record_log.cc
@@ -20,8 +20,11 @@
 constexpr std::size_t kChecksumAt = 16;
 // Disks write whole sectors.
 constexpr std::size_t kSectorBytes = 512;
-// Shorter runs of zeros occur in whole records.
-constexpr std::size_t kMinLostBytes = 8;
+// Records are padded to whole words. So a sector that was never written takes
+// at least one word of zeros from a record, and no whole record has one at the
+// edge of a sector in its header or padding.
+constexpr std::size_t kWordBytes = 8;
+constexpr char kPadding = '\xff';
 
 struct record_header {
   std::uint32_t length = 0;
@@ -41,6 +44,10 @@
   std::memcpy(bytes->data() + at, &number, sizeof(number));
 }
 
+std::size_t PaddedSize(std::size_t length) {
+  return (length + kWordBytes - 1) / kWordBytes * kWordBytes;
+}
+
 // Of the header without its own checksum.
 std::uint32_t HeaderSum(std::string_view header) {
   const auto length = Load<std::uint32_t>(header, kLengthAt);
@@ -55,6 +62,7 @@
   Store(&bytes, kChecksumAt, StableHash(record));
   Store(&bytes, kHeaderSumAt, HeaderSum(bytes));
   bytes += record;
+  bytes.resize(kHeaderBytes + PaddedSize(record.size()), kPadding);
   return bytes;
 }
 
@@ -73,9 +81,13 @@
                                             std::uint64_t sequence) {
   const auto header = ParseHeader(bytes);
   if (!header || header->sequence != sequence) return std::nullopt;
-  if (bytes.size() - kHeaderBytes < header->length) return std::nullopt;
+  const std::size_t padded = PaddedSize(header->length);
+  if (bytes.size() - kHeaderBytes < padded) return std::nullopt;
   const std::string_view record = bytes.substr(kHeaderBytes, header->length);
   if (StableHash(record) != header->checksum) return std::nullopt;
+  const std::string_view padding =
+      bytes.substr(kHeaderBytes + header->length, padded - header->length);
+  if (padding.find_first_not_of(kPadding) != padding.npos) return std::nullopt;
   return record;
 }
 
@@ -100,7 +112,7 @@
     const std::string_view sector = bytes.substr(at, end - at);
     const bool zero = std::all_of(sector.begin(), sector.end(),
                                   [](char byte) { return byte == '\0'; });
-    if (zero && end - at >= kMinLostBytes) return true;
+    if (zero && end - at >= kWordBytes) return true;
     at = end;
   }
   return false;
@@ -114,7 +126,9 @@
   if (IsFollowedByRecord(rest, sequence)) return false;
   if (rest.size() < kHeaderBytes) return true;
   const auto header = ParseHeader(rest);
-  if (header && rest.size() - kHeaderBytes < header->length) return true;
+  if (header && rest.size() - kHeaderBytes < PaddedSize(header->length)) {
+    return true;
+  }
   return HasLostSector(bytes, first);
 }
 
@@ -127,7 +141,7 @@
     const auto record = ParseRecord(bytes.substr(at), sequence);
     if (record) {
       opened.records.emplace_back(*record);
-      at += kHeaderBytes + record->size();
+      at += kHeaderBytes + PaddedSize(record->size());
       continue;
     }
     if (!IsTornWrite(bytes, at, sequence)) {
--- a/Source/UnitTests/Storage/record_log_test.cc
+++ b/Source/UnitTests/Storage/record_log_test.cc
@@ -51,7 +51,7 @@
     record_log log(disk.Hooks());
     const auto opened = std::get<opened_log>(log.Open(kPath));
     REQUIRE(opened.records == records{"first", "second"});
-    REQUIRE(opened.torn_bytes == 24 + 5 - 2);
+    REQUIRE(opened.torn_bytes == 24 + 8 - 2);
   }
   SECTION("a spoilt byte of any acknowledged record is refused") {
     const std::string good = bytes;
--- a/Source/UnitTests/Support/fake_disk.cc
+++ b/Source/UnitTests/Support/fake_disk.cc
@@ -71,6 +71,8 @@
 
 void fake_disk::PowerFailure(power_failure_kind kind) {
   power_left_.reset();
+  free_bytes_.reset();
+  fail_sync_ = false;
   if (!kind.names_last) current_ = lasting_;
   lasting_ = current_;
   for (auto& [path, entry] : current_) {
--- a/Source/UnitTests/Support/fake_disk.h
+++ b/Source/UnitTests/Support/fake_disk.h
@@ -30,7 +30,8 @@
 
   // The power fails at the operation after `count` further ones.
   void FailPowerAfter(std::uint64_t count) { power_left_ = count; }
-  // Leaves what a disk has after a power failure, and turns it on again.
+  // Leaves what a disk has after a power failure, and turns it on again, mended
+  // and with room.
   void PowerFailure(power_failure_kind kind);
   // The disk takes `bytes` more, then it is full.
   void FullAfter(std::uint64_t bytes) { free_bytes_ = bytes; }
