--- a/Source/Directory/directory.cc
+++ b/Source/Directory/directory.cc
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace lavendertack {
 namespace {
@@ -39,12 +40,22 @@
   const auto* accepted = std::get_if<ticket_accepted>(&verdict);
   applied_ = index;
   if (accepted == nullptr || accepted->index != index) return verdict;
-  accepted_[ticket.number] = {StableDigest(EncodeTicket(ticket)), index};
-  if (accepted_.size() > kKeptTickets) accepted_.erase(accepted_.begin());
+  Remember(ticket, index);
   ApplyObjects(ticket);
   return verdict;
 }
 
+void directory::Remember(const change_ticket& ticket, log_index index) {
+  std::string encoded = EncodeTicket(ticket);
+  const digest content = StableDigest(encoded);
+  accepted_[ticket.number] = {content, index, std::move(encoded)};
+  if (accepted_.size() > kKeptTickets) accepted_.erase(accepted_.begin());
+  if (accepted_.size() <= kKeptContents) return;
+  auto& oldest_whole = std::prev(accepted_.end(), kKeptContents + 1)->second;
+  oldest_whole.encoded.clear();
+  oldest_whole.encoded.shrink_to_fit();
+}
+
 void directory::ApplyObjects(const change_ticket& ticket) {
   for (const service_spec& spec : ticket.services) {
     if (spec.removed) {
@@ -128,6 +139,7 @@
     row->set_digest_high(ticket.content.high);
     row->set_digest_low(ticket.content.low);
     row->set_index(ticket.index.value);
+    row->set_encoded(ticket.encoded);
   }
   change_ticket objects;
   for (const auto& [name, spec] : services_) objects.services.push_back(spec);
@@ -156,7 +168,8 @@
   for (const wire::accepted_row& row : state.accepted()) {
     accepted_[{row.number()}] = {
         .content = {.high = row.digest_high(), .low = row.digest_low()},
-        .index = {row.index()}};
+        .index = {row.index()},
+        .encoded = row.encoded()};
   }
   ApplyObjects(std::get<change_ticket>(objects));
   for (const wire::replica& replica : state.replicas()) {
--- a/Source/Directory/directory.h
+++ b/Source/Directory/directory.h
@@ -20,6 +20,8 @@
 // Accepted tickets that are remembered, by the highest numbers: a resend within
 // so many tickets gets the first answer, a later one is outdated.
 inline constexpr std::size_t kKeptTickets = 8192;
+// Of these, the newest are kept whole for operators to read.
+inline constexpr std::size_t kKeptContents = 64;
 // Fewest and most voters that a change may leave.
 inline constexpr std::size_t kMinReplicas = 3;
 inline constexpr std::size_t kMaxReplicas = 7;
@@ -49,6 +51,7 @@
 struct accepted_ticket {
   digest content;  // Of the encoded ticket.
   log_index index;
+  std::string encoded;  // Empty when it isn't kept any more.
 };
 
 // What a change of the voters would do as the next entry.
@@ -115,6 +118,7 @@
   std::optional<ticket_error> CheckReferences(
       const change_ticket& ticket) const;
 
+  void Remember(const change_ticket& ticket, log_index index);
   void ApplyObjects(const change_ticket& ticket);
 
   log_index applied_;
