--- /dev/null
+++ b/Source/Ownership/roster_book.cc
@@ -0,0 +1,72 @@
+#include "Ownership/roster_book.h"
+
+#include <algorithm>
+
+#include "Traffic/placement.h"
+
+namespace lavendertack {
+
+bool roster_book::Admits(const roster_change& change) const {
+  const roster& present = Find(change.data_centre);
+  if (change.based_on != present.index || change.instances.empty()) {
+    return false;
+  }
+  const auto kept = std::count_if(
+      change.instances.begin(), change.instances.end(),
+      [&](const instance_name& name) { return present.Contains(name); });
+  return static_cast<std::size_t>(kept) >=
+         ClosingCount(present.instances.size());
+}
+
+bool roster_book::Apply(log_index index, const roster_change& change) {
+  if (!Admits(change)) return false;
+  roster& present = rosters_[change.data_centre];
+  present.index = index;
+  present.previous = std::move(present.instances);
+  present.instances = {change.instances.begin(), change.instances.end()};
+  present.removed.insert(present.previous.begin(), present.previous.end());
+  for (const instance_name& name : present.instances) {
+    present.removed.erase(name);
+  }
+  return true;
+}
+
+const roster& roster_book::Find(const data_centre_name& name) const {
+  static const roster none;
+  auto it = rosters_.find(name);
+  return it == rosters_.end() ? none : it->second;
+}
+
+std::optional<instance_name> roster_book::OwnerOf(
+    const service_name& service, const data_centre_name& name) const {
+  const roster& present = Find(name);
+  return OwnerAmong({present.instances.begin(), present.instances.end()},
+                    service);
+}
+
+wire::roster_state SaveRosters(const roster_book& book) {
+  wire::roster_state state;
+  for (const auto& [name, roster] : book.rosters()) {
+    wire::roster_row* row = state.add_rows();
+    row->set_data_centre(name.value);
+    row->set_index(roster.index.value);
+    for (const auto& i : roster.instances) row->add_instances(i.value);
+    for (const auto& i : roster.previous) row->add_previous(i.value);
+    for (const auto& i : roster.removed) row->add_removed(i.value);
+  }
+  return state;
+}
+
+roster_book LoadRosters(const wire::roster_state& state) {
+  roster_book book;
+  for (const wire::roster_row& row : state.rows()) {
+    roster loaded{.index = {row.index()}};
+    for (const auto& i : row.instances()) loaded.instances.insert({i});
+    for (const auto& i : row.previous()) loaded.previous.insert({i});
+    for (const auto& i : row.removed()) loaded.removed.insert({i});
+    book.Put({row.data_centre()}, std::move(loaded));
+  }
+  return book;
+}
+
+}  // namespace lavendertack
