Agreement: refusals are checked against the final register too

A conflict or an outdated answer is for good: the random run now remembers each by content and compares it with the tickets that are in force at the end.

--- a/Source/UnitTests/Agreement/replica_world.cc
+++ b/Source/UnitTests/Agreement/replica_world.cc
@@ -317,6 +317,7 @@
     Require(it->second.content == content, "one number accepted twice");
     Require(it->second.index == accepted->index, "a resend was answered anew");
     if (!first) return;
+    Require(!refused_.contains(content), "a refused ticket was accepted");
     Require(ticket.number > known.newest_known, "an old number was accepted");
     Require(accepted->index > known.index_known, "accepted in the past");
     newest_answered_ = std::max(newest_answered_, ticket.number);
@@ -324,6 +325,8 @@
   } else if (const auto* conflict = std::get_if<ticket_conflict>(verdict)) {
     ++counts_["answer conflict"];
     Require(conflict->number == ticket.number, "conflict names another number");
+    const auto [refusal, first] = refused_.emplace(content, conflict->index);
+    Require(refusal->second == conflict->index, "a conflict has two winners");
     auto it = accepted_.find(ticket.number);
     if (it == accepted_.end()) return;
     Require(it->second.content != content, "the winner was told of a conflict");
@@ -333,6 +336,7 @@
     Require(!accepted_.contains(ticket.number) ||
                 accepted_.at(ticket.number).content != content,
             "an accepted ticket became outdated");
+    refused_.emplace(content, log_index{});
     Require(outdated->newest > ticket.number, "outdated by a lower number");
     Require(outdated->newest >= known.newest_known, "outdated by an old state");
   } else {
@@ -343,6 +347,20 @@
   }
 }
 
+void replica_world::CheckRefusals() const {
+  const auto& tickets = machines_[0]->state->agreed().accepted();
+  for (const auto& [content, winner] : refused_) {
+    const auto ticket = std::get<change_ticket>(DecodeTicket(content));
+    auto it = tickets.find(ticket.number);
+    const bool accepted = it != tickets.end();
+    Require(!accepted || it->second.content != StableDigest(content),
+            "a refused ticket is in force");
+    if (winner.value == 0) continue;
+    Require(accepted && it->second.index == winner,
+            "a conflict names an entry that isn't the winner's");
+  }
+}
+
 std::size_t replica_world::IntactVoters() const {
   std::size_t count = 0;
   for (std::size_t i = 0; i < machines_.size(); ++i) {
@@ -358,7 +376,6 @@
 }
 
 void replica_world::CheckConverged() {
-  ticket_number last;
   log_index last_index;
   for (const auto& m : machines_) {
     Require(m->state != nullptr, "an instance is down");
@@ -373,6 +390,7 @@
             "an accepted ticket was changed");
     Require(it->second.index == answer.index, "an accepted ticket has moved");
   }
+  CheckRefusals();
   for (const auto& [number, ticket] : final_tickets) {
     Require(ticket.index > last_index, "numbers don't rise with the entries");
     last_index = ticket.index;
--- a/Source/UnitTests/Agreement/replica_world.h
+++ b/Source/UnitTests/Agreement/replica_world.h
@@ -128,6 +128,7 @@
             const wire::peer_message& message);
   void Deliver(std::size_t to, const wire::peer_message& message);
   void CheckState(std::size_t i, log_index before);
+  void CheckRefusals() const;
   void CheckOutcome(const change_ticket& ticket, const ticket_outcome& outcome);
   std::size_t IndexOf(const instance_name& name) const;
 
@@ -149,6 +150,8 @@
   // The naive register: what operators were told.
   std::map<ticket_number, first_answer> accepted_;
   std::map<std::string, submission> submitted_;
+  // Refused for good, by content: the winner's entry, or 0 for an old number.
+  std::map<std::string, log_index> refused_;
   ticket_number newest_answered_;
   log_index index_answered_;
 };
