--- a/Source/UnitTests/Agreement/agreement_test.cc
+++ b/Source/UnitTests/Agreement/agreement_test.cc
@@ -95,6 +95,13 @@
     REQUIRE(accepted == 2);
     REQUIRE(world.At(2).agreed().applied().value == before.value + 1);
   }
+  SECTION("a resend makes no second entry") {
+    Run(&world, seconds(10));  // The rosters are entries too.
+    const log_index before = world.At(2).agreed().applied();
+    REQUIRE(IsAccepted(Ask(&world, 1, Ticket(1, 10))));
+    Run(&world, seconds(1));
+    REQUIRE(world.At(2).agreed().applied() == before);
+  }
   SECTION("a ticket for a data centre in which nobody lives is refused") {
     change_ticket ticket = Ticket(2, 20);
     ticket.data_centres = {{{"nowhere"}, true}};
@@ -193,6 +200,29 @@
   }
 }
 
+TEST_CASE("a replica change is done when a majority of the new voters has it") {
+  constexpr microseconds kDelay(4000);
+  replica_world world({.seed = 17, .min_delay = kDelay, .max_delay = kDelay});
+  Run(&world, seconds(10));
+  world.LoseDisk(2);
+  world.Start(2);
+  Run(&world, seconds(5));
+  bool done = false;
+  world.Replace(0, 2, 2, [&](const replica_change_outcome& outcome) {
+    done = std::holds_alternative<replica_change_done>(outcome);
+  });
+  // n1 has been asked to accept it; nobody hears from n0 that it is chosen.
+  world.queue().RunUntil(world.queue().Now() + 5 * kDelay / 2);
+  for (const std::size_t other : {1, 2, 3, 4}) world.Cut(0, other);
+  Run(&world, seconds(3));
+  REQUIRE(world.At(0).agreed_log().chosen_index() >
+          world.At(1).agreed_log().chosen_index());
+  REQUIRE(!done);
+  world.HealLinks();
+  Run(&world, seconds(3));
+  REQUIRE(done);
+}
+
 // A ticket is accepted by n0 and n2, n2 loses its disk, and n1 proposes another
 // ticket with its number while n0 is away.
 void LoseTheSecondVote(broken_rules broken) {
