--- a/Source/Node/node.h
+++ b/Source/Node/node.h
@@ -15,6 +15,7 @@
 #include "Distribution/catch_up.h"
 #include "Membership/membership.h"
 #include "Node/packet_router.h"
+#include "Node/replica_changes.h"
 #include "Node/return_ramp.h"
 #include "Node/ticket_relay.h"
 #include "Ownership/ownership.h"
@@ -34,6 +35,7 @@
   std::vector<member> members;
   std::uint64_t incarnation = 0;  // Rises with every start; below 2^38.
   std::uint64_t seed = 0;
+  log_limits limits;
 };
 
 // Events.
@@ -64,7 +66,8 @@
 struct node_tick {};
 using node_event = std::variant<caller_spoke, target_announced, target_answered,
                                 target_unreachable, peer_spoke,
-                                ticket_submitted, leave_requested, node_tick>;
+                                ticket_submitted, replica_change_submitted,
+                                storage_failed, leave_requested, node_tick>;
 
 // Effects, besides those of the parts.
 struct send_peer {
@@ -80,7 +83,8 @@
 };
 using node_effect =
     std::variant<send_answer, send_run, send_cancel, send_peer, persist_record,
-                 answer_ticket, log_line, request_ended>;
+                 rewrite_records, answer_ticket, answer_replica_change,
+                 log_line, request_ended>;
 
 class node {
  public:
@@ -107,6 +111,7 @@
   const node_settings& settings() const { return settings_; }
   // Messages dropped because of log entries that can't be read.
   std::uint64_t unreadable_messages() const { return unreadable_messages_; }
+  const agreement& agreed_log() const { return agreement_; }
 
  private:
   // Who waits for the outcome of a ticket: an operator's request here, or
@@ -124,6 +129,8 @@
   void Handle(const peer_spoke& event);
   void Handle(const ticket_submitted& event);
   void Handle(const leave_requested& event);
+  void Handle(const replica_change_submitted& event);
+  void Handle(const storage_failed& event);
   void Handle(const node_tick& event);
 
   void Route(const caller_packet& packet, const caller_address& caller,
@@ -139,10 +146,23 @@
   // The replicas in the order in which a ticket is passed on to them.
   std::vector<instance_name> RelayOrder() const;
   void RunAgreement(const agreement_event& event);
-  void ApplyChosen(const entry_chosen& entry);
+  agreement_hooks AgreementHooks();
+  bool Admits(const std::string& value) const;
+  void ApplyChosen(log_index index, const std::string& value);
+  void ApplyEntry(log_index index, const change_ticket& ticket);
+  void ApplyEntry(log_index index, const roster_change& change);
+  void ApplyEntry(log_index index, const replica_change& change);
+  void ApplyEntry(log_index index, const founding_entry& founding);
+  std::string SaveState() const;
+  void LoadState(const std::string& bytes);
+  replica_change CompleteChange(const replica_change_submitted& event) const;
+  void EndReplicaChange(proposal_id id);
+  void ConfirmReplicaChanges();
+  bool IsCaughtUp(const replica_change& change) const;
+  void EndProposal(proposal_id id, std::optional<log_index> chosen);
+  void GiveUpProposal(proposal_id id);
   void RunShard(const service_name& name, const shard_event& event);
   std::vector<service_name> ShardNames() const;
-  void ApplyRoster(log_index index, const roster_change& change);
   void RunOwnership(const ownership_event& event);
   void HandleOwnership(const instance_name& from,
                        const wire::ownership_message& message);
@@ -154,8 +174,6 @@
   bool IsDrained(const service_name& service) const;
   instance_standing StandingOf(const instance_name& name) const;
   // The proposal wasn't an operator's ticket.
-  bool IsInternalProposal(const agreement_effect& effect) const;
-  bool Admits(const std::string& value) const;
   bool IsCurrent() const { return catch_up_.IsCurrent(directory_.applied()); }
   void MarkLostFlow(caller_answer* answer) const;
   void SendHeartbeats();
@@ -180,7 +198,9 @@
   ticket_relay relay_;
   std::map<proposal_id, ticket_origin> waiting_;
   std::map<proposal_id, change_ticket> proposed_;
+  // Of the entries that this event's agreement has chosen.
   std::map<log_index, ticket_verdict> verdicts_;
+  replica_changes replica_changes_;
   std::uint64_t proposals_ = 0;
   std::uint64_t unreadable_messages_ = 0;
   bool leaving_ = false;
--- a/Source/Node/peer_check.cc
+++ b/Source/Node/peer_check.cc
@@ -11,6 +11,14 @@
   return DecodeEntry(value).has_value();
 }
 
+bool IsReadable(const wire::state_snapshot& snapshot) {
+  wire::node_state state;
+  if (!state.ParseFromString(snapshot.state())) return false;
+  const wire::directory_state& agreed = state.directory();
+  return agreed.applied() == snapshot.index() &&
+         std::holds_alternative<change_ticket>(DecodeTicket(agreed.objects()));
+}
+
 }  // namespace
 
 bool HasReadableEntries(const wire::agreement_message& message) {
@@ -19,8 +27,10 @@
       message.promise().accepted_number().round() != 0) {
     return IsReadable(message.promise().accepted_value());
   }
-  return std::all_of(message.chosen().values().begin(),
-                     message.chosen().values().end(), IsReadable);
+  if (message.has_snapshot()) return IsReadable(message.snapshot());
+  return std::all_of(
+      message.chosen().values().begin(), message.chosen().values().end(),
+      [](const std::string& value) { return IsReadable(value); });
 }
 
 }  // namespace lavendertack
--- a/Source/Ownership/roster_book.cc
+++ b/Source/Ownership/roster_book.cc
@@ -44,4 +44,29 @@
                     service);
 }
 
+wire::roster_state SaveRosters(const roster_book& book) {
+  wire::roster_state state;
+  for (const auto& [name, roster] : book.rosters()) {
+    wire::roster_row* row = state.add_rows();
+    row->set_data_centre(name.value);
+    row->set_index(roster.index.value);
+    for (const auto& i : roster.instances) row->add_instances(i.value);
+    for (const auto& i : roster.previous) row->add_previous(i.value);
+    for (const auto& i : roster.removed) row->add_removed(i.value);
+  }
+  return state;
+}
+
+roster_book LoadRosters(const wire::roster_state& state) {
+  roster_book book;
+  for (const wire::roster_row& row : state.rows()) {
+    roster loaded{.index = {row.index()}};
+    for (const auto& i : row.instances()) loaded.instances.insert({i});
+    for (const auto& i : row.previous()) loaded.previous.insert({i});
+    for (const auto& i : row.removed()) loaded.removed.insert({i});
+    book.Put({row.data_centre()}, std::move(loaded));
+  }
+  return book;
+}
+
 }  // namespace lavendertack
--- a/Source/Ownership/roster_book.h
+++ b/Source/Ownership/roster_book.h
@@ -6,8 +6,10 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 
 #include "Directory/log_entry.h"
+#include "Wire/lavendertack.pb.h"
 
 namespace lavendertack {
 
@@ -41,11 +43,19 @@
   std::optional<instance_name> OwnerOf(const service_name& service,
                                        const data_centre_name& name) const;
   const std::map<data_centre_name, roster>& rosters() const { return rosters_; }
+  // Takes a roster from a snapshot.
+  void Put(const data_centre_name& name, roster taken) {
+    rosters_[name] = std::move(taken);
+  }
 
  private:
   std::map<data_centre_name, roster> rosters_;
 };
 
+// For snapshots of the agreed state.
+wire::roster_state SaveRosters(const roster_book& book);
+roster_book LoadRosters(const wire::roster_state& state);
+
 }  // namespace lavendertack
 
 #endif  // LAVENDERTACK_OWNERSHIP_ROSTER_BOOK_H_
--- a/Source/UnitTests/Node/packet_routing_test.cc
+++ b/Source/UnitTests/Node/packet_routing_test.cc
@@ -30,11 +30,12 @@
                          .data_centres = {{{"a"}, false}, {{"b"}, false}}};
     wire::stored_record record;
     record.mutable_chosen()->set_first(1);
-    record.mutable_chosen()->add_values(EncodeTicket(ticket));
+    // The rosters go first: they make the data centres known.
     for (const std::string centre : {"a", "b"}) {
       record.mutable_chosen()->add_values(EncodeEntry(roster_change{
           {centre}, {{centre + "1"}, {centre + "2"}}, log_index{}}));
     }
+    record.mutable_chosen()->add_values(EncodeTicket(ticket));
     node_.Restore(record);
     LearnNewestIndex();
   }
--- a/Source/UnitTests/Node/ticket_submit_test.cc
+++ b/Source/UnitTests/Node/ticket_submit_test.cc
@@ -19,7 +19,13 @@
                             .last_heard = std::nullopt,
                             .last = {}}},
                .incarnation = 1,
-               .seed = 1}) {}
+               .seed = 1}) {
+    // The replicas are founded before the first ticket.
+    for (int i = 0; i < 100; ++i) {
+      now_ += milliseconds(10);
+      node_.Reduce(now_, node_tick{});
+    }
+  }
 
   // The verdict on a ticket, within a second.
   ticket_verdict Submit(const std::string& json) {
