Membership, Node: packets go to an owner only when it can hear them

An owner behind a one-way cut looked alive, so packets handed on to it vanished; and a leaving owner counted as unreachable, so requests of its open flows were told 'outcome unknown' during a planned stop. Heartbeats now name the instances that their sender doesn't hear, and routing asks IsReachable. Two sections of PacketRoutingTest, seen failing first.

Traffic: an open that is sent again moves a flow without work off a draining target.

--- a/Source/Membership/membership.cc
+++ b/Source/Membership/membership.cc
@@ -1,5 +1,7 @@
 #include "Membership/membership.h"
 
+#include <algorithm>
+
 namespace lavendertack {
 
 membership::membership(instance_name self, std::vector<member> members)
@@ -22,9 +24,29 @@
 bool membership::IsAlive(instant now, const instance_name& name) const {
   if (name == self_) return true;
   auto it = members_.find(name);
-  if (it == members_.end() || !it->second.last_heard) return false;
-  return !it->second.last.leaving() &&
-         now - *it->second.last_heard < kSuspectAfter;
+  return it != members_.end() && !it->second.last.leaving() &&
+         IsHeard(now, it->second);
+}
+
+bool membership::IsReachable(instant now, const instance_name& name) const {
+  if (name == self_) return true;
+  auto it = members_.find(name);
+  if (it == members_.end() || !IsHeard(now, it->second)) return false;
+  const auto& unheard = it->second.last.unheard();
+  return std::find(unheard.begin(), unheard.end(), self_.value) ==
+         unheard.end();
+}
+
+std::vector<instance_name> membership::Unheard(instant now) const {
+  std::vector<instance_name> names;
+  for (const auto& [name, m] : members_) {
+    if (name != self_ && !IsHeard(now, m)) names.push_back(name);
+  }
+  return names;
+}
+
+bool membership::IsHeard(instant now, const member& m) const {
+  return m.last_heard && now - *m.last_heard < kSuspectAfter;
 }
 
 bool membership::IsSilent(instant now, const instance_name& name) const {
--- a/Source/Membership/membership.h
+++ b/Source/Membership/membership.h
@@ -36,6 +36,11 @@
   void Heard(instant now, const instance_name& from,
              const wire::heartbeat& heartbeat);
   bool IsAlive(instant now, const instance_name& name) const;
+  // A message to it arrives: it is heard and says that it hears this instance.
+  // One that is leaving still takes packets of its open flows.
+  bool IsReachable(instant now, const instance_name& name) const;
+  // Instances that aren't heard at present, in order.
+  std::vector<instance_name> Unheard(instant now) const;
   // Not heard for longer than a restart takes, nor since this instance began
   // to listen.
   bool IsSilent(instant now, const instance_name& name) const;
@@ -46,6 +51,8 @@
   const instance_name& self() const { return self_; }
 
  private:
+  bool IsHeard(instant now, const member& m) const;
+
   instance_name self_;
   std::map<instance_name, member> members_;
   std::optional<instant> started_;  // The first time that anyone was heard.
--- a/Source/Node/node.cc
+++ b/Source/Node/node.cc
@@ -664,6 +664,9 @@
   heartbeat->set_current(IsCurrent());
   heartbeat->set_leaving(leaving_);
   heartbeat->set_data_centre(settings_.data_centre.value);
+  for (const instance_name& name : membership_.Unheard(now_)) {
+    heartbeat->add_unheard(name.value);
+  }
   for (const auto& [name, shard] : shards_) {
     if (!ownership_.MayAct(now_, name)) continue;
     const shard_load load = shard.Load();
@@ -707,10 +710,10 @@
     }
     view.data_centres.push_back(choice);
   }
-  // Packets for a suspected owner would vanish; they are refused at once.
+  // Packets for an unreachable owner would vanish; they are refused at once.
   view.owner = [this, service](const data_centre_name& name) {
     auto owner = OwnerOf(service, name);
-    if (owner && !membership_.IsAlive(now_, *owner)) owner.reset();
+    if (owner && !membership_.IsReachable(now_, *owner)) owner.reset();
     return owner;
   };
   return result;
--- a/Source/Traffic/service_shard.cc
+++ b/Source/Traffic/service_shard.cc
@@ -164,6 +164,12 @@
          id);
   }
   flows_.Touch(flow, now_);
+  // The answer to its first open was lost: to its caller the flow is new.
+  target_record* pinned = targets_.Find(flow->target);
+  if (pinned != nullptr && pinned->state == target_state::kDraining &&
+      flow->records.empty()) {
+    MoveFlow(flow, pinned);
+  }
   if (PlaceFlow(flow, std::nullopt) == nullptr) {
     RefusePacket(event, answer_kind::kNotRun, refusal_reason::kNoTarget);
     return;
@@ -333,11 +339,17 @@
     const bool learning = now_ - *started_ < kLearnTime;
     if (!known && learning && token->epoch != settings_.epoch) return nullptr;
   }
+  return MoveFlow(flow, target);
+}
+
+// Moves a flow away from `from`, which is null when it is gone. Null when no
+// other target takes it.
+target_record* service_shard::MoveFlow(flow_record* flow, target_record* from) {
   target_record* next = targets_.Choose(flow->target);
   if (next == nullptr) return nullptr;
-  if (target != nullptr) {
-    --target->flows;
-    targets_.Reindex(target);
+  if (from != nullptr) {
+    --from->flows;
+    targets_.Reindex(from);
   }
   PinFlow(flow, next);
   ++counters_.moved;
--- a/Source/Traffic/service_shard.h
+++ b/Source/Traffic/service_shard.h
@@ -96,6 +96,7 @@
                                       flow_record* flow) const;
   target_record* PlaceFlow(flow_record* flow,
                            const std::optional<flow_token>& token);
+  target_record* MoveFlow(flow_record* flow, target_record* from);
   void PinFlow(flow_record* flow, target_record* target);
 
   // Admission.
--- a/Source/UnitTests/Node/packet_routing_test.cc
+++ b/Source/UnitTests/Node/packet_routing_test.cc
@@ -42,9 +42,11 @@
 
   std::vector<node_effect> Hear(const std::string& from,
                                 std::uint32_t ready_slots = 0,
-                                std::uint64_t applied = kEntries) {
+                                std::uint64_t applied = kEntries,
+                                const wire::heartbeat& like = {}) {
     wire::peer_message message = From(from);
     auto* heartbeat = message.mutable_heartbeat();
+    *heartbeat = like;
     heartbeat->set_applied_index(applied);
     heartbeat->set_data_centre(from.substr(0, 1));
     auto* row = heartbeat->add_capacity();
@@ -223,6 +225,22 @@
     CHECK(answer.come_back > milliseconds(0));
     CHECK_FALSE(answer.flow_lost);
   }
+  SECTION("is answered at once when the instance in charge hears nothing") {
+    wire::heartbeat one_way;
+    one_way.add_unheard(OtherIn("a"));
+    entry.Hear(OwnerIn("b"), 4, 3, one_way);
+    const caller_answer answer = AnswerIn(entry.Say(Request("b")));
+    CHECK(answer.reason == refusal_reason::kOwnerUnreachable);
+  }
+  SECTION("still goes to an instance in charge that is leaving") {
+    wire::heartbeat leaving;
+    leaving.set_leaving(true);
+    entry.Hear(OwnerIn("b"), 4, 3, leaving);
+    CHECK(Find<send_peer>(entry.Say(Request("b"))) != nullptr);
+    SECTION("but a new flow doesn't") {
+      CHECK(AnswerIn(entry.Say(Open())).reason == refusal_reason::kNoTarget);
+    }
+  }
 }
 
 TEST_CASE("a flow of a data centre that no ticket knows is lost") {
--- a/Source/UnitTests/Traffic/service_shard_test.cc
+++ b/Source/UnitTests/Traffic/service_shard_test.cc
@@ -376,6 +376,15 @@
     d.Finish(d.runs[0]);
     RequireAnswer(d, answer_kind::kServed);
   }
+  SECTION("a flow without work leaves a draining target when opened again") {
+    d.Open(3);
+    REQUIRE(d.tokens.at(3).target == target_name{"a"});
+    d.Announce("b");
+    d.Announce("a", target_state::kDraining);
+    d.Open(3);
+    REQUIRE(d.tokens.at(3).target == target_name{"b"});
+    REQUIRE(d.shard.targets().at({"b"}).flows == 1);
+  }
   SECTION("a cancelled request that waits ends at once") {
     d.Request(1, 2);
     d.Packet(1, cancel_request{{2}});
