--- a/Source/Membership/membership.cc
+++ b/Source/Membership/membership.cc
@@ -55,13 +55,4 @@
   return !it->second.last_heard || now - *it->second.last_heard >= kSilentAfter;
 }
 
-std::vector<instance_name> membership::AliveIn(
-    instant now, const data_centre_name& name) const {
-  std::vector<instance_name> alive;
-  for (const auto& [id, m] : members_) {
-    if (m.data_centre == name && IsAlive(now, id)) alive.push_back(id);
-  }
-  return alive;
-}
-
 }  // namespace lavendertack
--- a/Source/Membership/membership.h
+++ b/Source/Membership/membership.h
@@ -44,9 +44,6 @@
   // Not heard for longer than a restart takes, nor since this instance began
   // to listen.
   bool IsSilent(instant now, const instance_name& name) const;
-  // Names of the data centre's instances that are alive, in order.
-  std::vector<instance_name> AliveIn(instant now,
-                                     const data_centre_name& name) const;
   const std::map<instance_name, member>& members() const { return members_; }
   const instance_name& self() const { return self_; }
 
