--- a/Source/Agreement/agreement.cc
+++ b/Source/Agreement/agreement.cc
@@ -20,8 +20,6 @@
 constexpr milliseconds kFoundingInterval{500};
 // Time between two messages that tell the voters how far this replica is.
 constexpr milliseconds kHelloInterval{1000};
-// Least time between two snapshots to one instance.
-constexpr seconds kSnapshotInterval{5};
 
 bool Below(const wire::ballot& a, const wire::ballot& b) {
   if (a.round() != b.round()) return a.round() < b.round();
@@ -87,6 +85,8 @@
     Receive(received->from, received->message);
   } else if (std::holds_alternative<storage_failed>(event)) {
     FailStorage();
+  } else if (std::holds_alternative<storage_restored>(event)) {
+    RestoreStorage();
   } else {
     Tick();
   }
@@ -227,6 +227,13 @@
   GiveUpLateProposals();
 }
 
+// What the acceptor promised or accepted without a record was told to nobody,
+// so keeping to it is safe.
+void agreement::RestoreStorage() {
+  failed_ = false;
+  RewriteRecords();
+}
+
 void agreement::SendHello() {
   for (const instance_name& name : Voters()) {
     if (name != settings_.self) Send(name, {});
@@ -431,7 +438,7 @@
   } else {
     // A snapshot is large, and the asker may ask again before it arrives.
     auto& sent = snapshot_sent_[from];
-    if (sent && now_ - *sent < kSnapshotInterval) return;
+    if (sent && now_ - *sent < settings_.limits.snapshot_interval) return;
     sent = now_;
     message.mutable_snapshot()->set_index(log_.last().value);
     message.mutable_snapshot()->set_state(hooks_.save());
--- a/Source/Agreement/agreement.h
+++ b/Source/Agreement/agreement.h
@@ -39,6 +39,8 @@
   // The log file is written anew when the records since the last time take so
   // many bytes, and more than the snapshot itself.
   std::uint64_t rewrite_bytes = 1 << 20;
+  // Least time between two snapshots to one instance.
+  milliseconds snapshot_interval{5000};
 };
 
 struct agreement_settings {
@@ -76,10 +78,13 @@
   wire::agreement_message message;
 };
 struct agreement_tick {};
-// A record could not be synced: the replica votes no more in this life.
+// A record could not be synced: the replica votes no more until it can.
 struct storage_failed {};
-using agreement_event = std::variant<propose_entry, agreement_received,
-                                     agreement_tick, storage_failed>;
+// The log takes records again; what was kept in memory is written anew.
+struct storage_restored {};
+using agreement_event =
+    std::variant<propose_entry, agreement_received, agreement_tick,
+                 storage_failed, storage_restored>;
 
 // Effects.
 struct persist_record {
@@ -174,6 +179,7 @@
   void Note(const instance_name& from, const wire::agreement_message& message);
   void Tick();
   void FailStorage();
+  void RestoreStorage();
   void GiveUpLateProposals();
   bool HasWork() const;
   void SendHello();
--- /dev/null
+++ b/Source/Common/ipv4.h
@@ -0,0 +1,45 @@
+// IPv4 addresses and ports as numbers, in host byte order.
+#ifndef LAVENDERTACK_COMMON_IPV4_H_
+#define LAVENDERTACK_COMMON_IPV4_H_
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "Common/strong_type.h"
+
+namespace lavendertack {
+
+using ipv4_address = strong_type<struct ipv4_address_tag, std::uint32_t>;
+using port_number = strong_type<struct port_number_tag, std::uint16_t>;
+
+struct ipv4_endpoint {
+  ipv4_address ip;
+  port_number port;
+  friend auto operator<=>(const ipv4_endpoint&, const ipv4_endpoint&) = default;
+};
+
+std::string ToString(ipv4_address ip);
+std::string ToString(const ipv4_endpoint& endpoint);
+
+// "10.0.0.1"; nothing for any other text.
+std::optional<ipv4_address> ParseIpv4(std::string_view text);
+// "10.0.0.1:80" with a port from 1 on; nothing for any other text.
+std::optional<ipv4_endpoint> ParseIpv4Endpoint(std::string_view text);
+
+}  // namespace lavendertack
+
+template <>
+struct std::hash<lavendertack::ipv4_endpoint> {
+  std::size_t operator()(
+      const lavendertack::ipv4_endpoint& endpoint) const noexcept {
+    const std::uint64_t both =
+        std::uint64_t{endpoint.ip.value} << 16 | endpoint.port.value;
+    return std::hash<std::uint64_t>{}(both * 0x9e3779b97f4a7c15U);
+  }
+};
+
+#endif  // LAVENDERTACK_COMMON_IPV4_H_
--- /dev/null
+++ b/Source/Control/control_instance.cc
@@ -0,0 +1,329 @@
+#include "Control/control_instance.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavendertack {
+namespace {
+
+// Time between two requests to another control instance, and between two
+// messages that tell it how far this one is.
+constexpr milliseconds kFollowInterval{300};
+// Silent targets: two reports and part of a third were missed.
+constexpr double kSilentAfterHeartbeats = 2.75;
+// Longer than a report can be on its way: a late one of a target that ended
+// must still be known as outdated.
+constexpr milliseconds kForgetTargets{60'000};
+// A voter that isn't heard for so long is replaced where another can take
+// over. Below the time after which a loss may be followed by the next one.
+constexpr milliseconds kReplaceVoterAfter{2000};
+constexpr milliseconds kCandidateWithin{900};
+constexpr milliseconds kPlanInterval{300};
+// Each further voter waits so much longer before it plans a change itself.
+constexpr milliseconds kPlanStagger{600};
+// Without enough voters to survive the losses of the settings, orders wait for
+// more of them so long after the start; a smaller deployment has no more.
+constexpr milliseconds kWaitForVoters{20'000};
+// After a data centre is taken back, targets may need so long, beyond their
+// cold start and one report, to be told everywhere.
+constexpr milliseconds kReopenMargin{500};
+
+}  // namespace
+
+control_instance::control_instance(control_settings settings,
+                                   manifest_decoder decode)
+    : settings_(std::move(settings)),
+      published_(std::move(decode)),
+      agreement_({.self = settings_.self,
+                  .replica = true,
+                  .founders = settings_.founders,
+                  .fresh_storage = settings_.fresh_storage,
+                  .seed = settings_.seed,
+                  .limits = settings_.limits},
+                 Hooks()),
+      book_({.silent_after = std::chrono::duration_cast<milliseconds>(
+                 settings_.heartbeat_interval * kSilentAfterHeartbeats),
+             .forget_after = kForgetTargets}),
+      follower_({.self = settings_.self,
+                 .data_centre = settings_.data_centre,
+                 .is_control = true,
+                 .seeds = settings_.seeds,
+                 .follow_interval = kFollowInterval}),
+      random_(settings_.seed),
+      target_epoch_(random_() | 1) {}
+
+agreement_hooks control_instance::Hooks() {
+  return {
+      .admit = [this](const std::string& e) { return published_.Admits(e); },
+      .apply =
+          [this](log_index index, const std::string& entry) {
+            published_.Apply(index, entry);
+          },
+      .voters = [this]() -> const replica_set& { return published_.voters(); },
+      .found = published_state::Found,
+      .founded = published_state::Founded,
+      .save = [this] { return published_.Save(); },
+      .load =
+          [this](const std::string& state) {
+            published_.Load(agreement_.chosen_index(), state);
+          }};
+}
+
+void control_instance::Restore(const wire::stored_record& record) {
+  agreement_.Restore(record);
+}
+
+std::vector<control_effect> control_instance::Reduce(
+    instant now, const control_event& event) {
+  now_ = now;
+  effects_.clear();
+  if (!started_) started_ = now;
+  std::visit([this](const auto& e) { Handle(e); }, event);
+  NotePublished();
+  PushNews(false);
+  return std::move(effects_);
+}
+
+bool control_instance::IsCurrent(instant now) const {
+  const replica_set& voters = published_.voters();
+  std::size_t heard = 0;
+  for (const auto& [name, storage] : voters) {
+    if (name == settings_.self ? agreement_.IsVoting()
+                               : follower_.Hears(now, name)) {
+      ++heard;
+    }
+  }
+  return !voters.empty() && heard > voters.size() / 2;
+}
+
+bool control_instance::MayConfirm(instant now, target_phase phase) const {
+  return phase == target_phase::kReady || IsCurrent(now);
+}
+
+std::size_t control_instance::WantedVoters() const {
+  return std::max<std::size_t>(VotersFor(settings_.tolerated_losses),
+                               VotersFor(1));
+}
+
+void control_instance::Handle(const operator_ordered& event) {
+  const auto answer = [&](order_outcome outcome) {
+    effects_.emplace_back(answer_operator{event.call, std::move(outcome)});
+  };
+  if (!agreement_.IsVoting()) {
+    if (auto voter = FindVoter()) return answer(order_redirected{*voter});
+    return answer(order_unsure{"no voter is heard"});
+  }
+  if (!IsCurrent(now_)) {
+    return answer(order_unsure{"no majority of the voters is heard"});
+  }
+  const bool is_read = std::holds_alternative<read_published>(event.order);
+  if (!is_read && published_.voters().size() < WantedVoters() &&
+      now_ - *started_ < kWaitForVoters) {
+    return answer(order_unsure{"too few voters yet"});
+  }
+  const proposal_id id{++next_proposal_};
+  calls_[id] = event.call;
+  Agree(propose_entry{id, EncodeOrder(random_(), event.order)});
+}
+
+std::optional<instance_name> control_instance::FindVoter() const {
+  for (const auto& [name, storage] : published_.voters()) {
+    auto it = follower_.controls().find(name);
+    if (it == follower_.controls().end() || !it->second.current) continue;
+    if (follower_.Hears(now_, name)) return name;
+  }
+  // A new control instance doesn't know the voters yet.
+  for (const auto& [name, control] : follower_.controls()) {
+    if (control.current && follower_.Hears(now_, name)) return name;
+  }
+  return std::nullopt;
+}
+
+void control_instance::Handle(const target_reported& event) {
+  const report_verdict verdict = book_.Report(now_, event.report);
+  if (verdict != report_verdict::kUnchanged) {
+    effects_.emplace_back(report_noted{event.report, verdict});
+  }
+}
+
+void control_instance::Handle(const target_ended& event) {
+  std::optional<target_report> last;
+  if (const auto* known = follower_.state().targets.Find(event.id)) {
+    last = known->report;
+  }
+  book_.End(now_, event.id, last);
+  target_report ended = last.value_or(target_report{.id = event.id});
+  ended.phase = target_phase::kGone;
+  effects_.emplace_back(
+      report_noted{std::move(ended), report_verdict::kChanged});
+}
+
+void control_instance::Handle(const control_message& event) {
+  const wire::fleet_message& message = event.message;
+  const instance_name from{message.from()};
+  if (from == settings_.self) return;
+  if (message.has_agreement()) {
+    Agree(agreement_received{from, message.agreement()});
+  } else if (message.has_follow()) {
+    auto update = feed_.Follow(now_, event.link, message.follow(), Content());
+    effects_.emplace_back(
+        send_to_follower{update.to, std::move(update.message)});
+  } else if (message.has_update()) {
+    for (follower_note& note : follower_.Apply(now_, from, message.update())) {
+      effects_.emplace_back(std::move(note));
+    }
+  }
+}
+
+void control_instance::Handle(const control_tick&) {
+  Agree(agreement_tick{});
+  for (const target_id& id : book_.Tick(now_)) {
+    effects_.emplace_back(
+        report_noted{book_.targets().at(id).report, report_verdict::kChanged});
+  }
+  for (follower_note& note : follower_.Tick(now_)) {
+    effects_.emplace_back(std::move(note));
+  }
+  for (follow_request& request : follower_.Requests(now_)) {
+    effects_.emplace_back(
+        send_to_control{request.to, std::move(request.message)});
+    // Tells one that doesn't vote how far the log is.
+    wire::fleet_message hello;
+    hello.set_from(settings_.self.value);
+    hello.mutable_agreement()->set_chosen_index(
+        agreement_.chosen_index().value);
+    hello.mutable_agreement()->set_storage_id(
+        agreement_.has_failed_storage() ? 0 : agreement_.storage().value);
+    effects_.emplace_back(send_to_control{request.to, std::move(hello)});
+  }
+  if (held_.Tick(now_)) PushNews(true);
+  const bool current = IsCurrent(now_);
+  if (current != std::exchange(was_current_, current)) {
+    effects_.emplace_back(majority_changed{current});
+    PushNews(true);
+  }
+  PlanVoterChange();
+}
+
+void control_instance::Handle(const seeds_changed& event) {
+  follower_.SetSeeds(now_, event.seeds);
+}
+
+void control_instance::Handle(const storage_failed& event) { Agree(event); }
+
+void control_instance::Handle(const storage_restored& event) { Agree(event); }
+
+void control_instance::Agree(const agreement_event& event) {
+  for (agreement_effect& effect : agreement_.Reduce(now_, event)) {
+    Carry(std::move(effect));
+  }
+}
+
+void control_instance::Carry(agreement_effect effect) {
+  if (auto* record = std::get_if<persist_record>(&effect)) {
+    effects_.emplace_back(std::move(*record));
+  } else if (auto* rewrite = std::get_if<rewrite_records>(&effect)) {
+    effects_.emplace_back(std::move(*rewrite));
+  } else if (auto* send = std::get_if<send_agreement>(&effect)) {
+    wire::fleet_message message;
+    message.set_from(settings_.self.value);
+    *message.mutable_agreement() = std::move(send->message);
+    effects_.emplace_back(send_to_control{send->to, std::move(message)});
+  } else if (auto* chosen = std::get_if<proposal_chosen>(&effect)) {
+    Answer(chosen->id, order_done{.applied = chosen->index,
+                                  .version = published_.published().version,
+                                  .changed = true});
+  } else if (auto* refused = std::get_if<proposal_refused>(&effect)) {
+    // It changes nothing in the newest state, which a majority confirmed.
+    Answer(refused->id, order_done{.applied = agreement_.chosen_index(),
+                                   .version = published_.published().version,
+                                   .changed = false});
+  } else if (auto* late = std::get_if<proposal_timed_out>(&effect)) {
+    Answer(late->id, order_unsure{"no majority answered in time"});
+  } else if (auto* stuck = std::get_if<founding_stuck>(&effect)) {
+    effects_.emplace_back(std::move(*stuck));
+  }
+}
+
+void control_instance::Answer(proposal_id id, const order_outcome& outcome) {
+  auto it = calls_.find(id);
+  if (it == calls_.end()) return;  // A change of the voters.
+  effects_.emplace_back(answer_operator{it->second, outcome});
+  calls_.erase(it);
+}
+
+void control_instance::NotePublished() {
+  if (published_.changed_at() <= noted_) return;
+  noted_ = published_.changed_at();
+  const milliseconds hold = LongestColdStart(published_.published()) +
+                            settings_.heartbeat_interval + kReopenMargin;
+  for (const data_centre_name& back :
+       held_.Update(now_, published_.closed(), hold)) {
+    book_.ExpectFresh(back);
+  }
+  effects_.emplace_back(state_published{noted_, published_.published().version,
+                                        published_.closed()});
+}
+
+std::vector<control_peer> control_instance::Peers() const {
+  std::vector<control_peer> peers{{.name = settings_.self,
+                                   .data_centre = settings_.data_centre,
+                                   .storage = agreement_.has_failed_storage()
+                                                  ? storage_id{}
+                                                  : agreement_.storage(),
+                                   .caught_up = true,
+                                   .silent = milliseconds(0)}};
+  for (const auto& [name, control] : follower_.controls()) {
+    const auto progress = agreement_.ProgressOf(name);
+    if (!control.heard || !progress) continue;
+    peers.push_back({.name = name,
+                     .data_centre = control.data_centre,
+                     .storage = progress->storage,
+                     .caught_up = progress->chosen >= agreement_.chosen_index(),
+                     .silent = std::chrono::duration_cast<milliseconds>(
+                         now_ - *control.heard)});
+  }
+  return peers;
+}
+
+void control_instance::PlanVoterChange() {
+  if (last_plan_ && now_ - *last_plan_ < kPlanInterval) return;
+  if (!agreement_.IsVoting() || !IsCurrent(now_)) return;
+  // Right after the start, the others may just not have been heard yet.
+  const auto& voters = published_.voters();
+  const auto rank = std::distance(voters.begin(), voters.find(settings_.self));
+  if (now_ - *started_ < kReplaceVoterAfter + rank * kPlanStagger) return;
+  last_plan_ = now_;
+  auto change =
+      PlanVoters({.wanted = WantedVoters(),
+                  .replace_after = kReplaceVoterAfter + rank * kPlanStagger,
+                  .candidate_within = kCandidateWithin},
+                 voters, Peers());
+  if (!change) return;
+  effects_.emplace_back(voters_planned{*change});
+  Agree(propose_entry{{++next_proposal_}, EncodeOrder(random_(), *change)});
+}
+
+feed_content control_instance::Content() const {
+  feed_content content{.self = settings_.self,
+                       .published = published_,
+                       .targets = book_,
+                       .target_epoch = target_epoch_,
+                       .data_centre = settings_.data_centre,
+                       .current = IsCurrent(now_),
+                       .controls = {},
+                       .closed = held_.Closed()};
+  for (const auto& [name, control] : follower_.controls()) {
+    if (follower_.Hears(now_, name)) content.controls.push_back(name);
+  }
+  return content;
+}
+
+void control_instance::PushNews(bool to_all) {
+  for (feed_update& update : feed_.Push(now_, Content(), to_all)) {
+    effects_.emplace_back(
+        send_to_follower{update.to, std::move(update.message)});
+  }
+}
+
+}  // namespace lavendertack
--- /dev/null
+++ b/Source/Following/control_follower.cc
@@ -0,0 +1,212 @@
+#include "Following/control_follower.h"
+
+#include <algorithm>
+
+#include "Following/target_codec.h"
+
+namespace lavendertack {
+namespace {
+
+// A control instance that is silent for so long isn't believed to be there:
+// three requests without an answer.
+constexpr int kLostAfterRequests = 3;
+// Targets of a lost control instance report to another one after about two of
+// their reports; only then its word on them is dropped.
+constexpr milliseconds kClaimsAfterLoss{5000};
+// A control instance that nobody names for so long is forgotten.
+constexpr milliseconds kForgetControl{30'000};
+// Targets that are over are remembered as long as a connection may last.
+constexpr milliseconds kForgetTarget{70'000};
+// Waits so long for the other control instances after the first one told all.
+constexpr milliseconds kSyncOthers{1000};
+// Most control instances that are followed.
+constexpr std::size_t kMaxControls = 16;
+
+}  // namespace
+
+control_follower::control_follower(follower_settings settings)
+    : settings_(std::move(settings)) {
+  SetSeeds(instant{}, settings_.seeds);
+}
+
+void control_follower::SetSeeds(instant now,
+                                const std::vector<instance_name>& seeds) {
+  settings_.seeds = seeds;
+  for (const instance_name& name : seeds) {
+    if (name != settings_.self) controls_[name].listed = now;
+  }
+}
+
+bool control_follower::Hears(instant now, const instance_name& name) const {
+  auto it = controls_.find(name);
+  return it != controls_.end() && it->second.heard &&
+         now - *it->second.heard <
+             kLostAfterRequests * settings_.follow_interval;
+}
+
+std::vector<follower_note> control_follower::Apply(instant now,
+                                                   const instance_name& from,
+                                                   const wire::update& update) {
+  std::vector<follower_note> notes;
+  if (!controls_.contains(from) && controls_.size() >= kMaxControls) {
+    return notes;
+  }
+  if (!Hears(now, from)) notes.emplace_back(control_found{from});
+  followed_control& control = controls_[from];
+  control.heard = now;
+  control.listed = now;
+  control.claims_dropped = false;
+  control.data_centre = {update.data_centre()};
+  control.current = update.current();
+  for (const std::string& name : update.controls()) {
+    if (name == settings_.self.value) continue;
+    if (controls_.size() >= kMaxControls && !controls_.contains({name})) break;
+    controls_[{name}].listed = now;
+  }
+  ApplyState(now, from, update, &notes);
+  ApplyTargets(now, from, update, &notes);
+  return notes;
+}
+
+void control_follower::ApplyState(instant now, const instance_name& from,
+                                  const wire::update& update,
+                                  std::vector<follower_note>* notes) {
+  followed_control& control = controls_[from];
+  control.closed.clear();
+  for (const std::string& name : update.closed_data_centres()) {
+    control.closed.insert({name});
+  }
+  control.closed_at = {update.state_to()};
+  const log_index from_index{update.state_from()};
+  const log_index to_index{update.state_to()};
+  const bool fits = update.whole_state() || from_index <= applied_;
+  if (update.has_state() && fits && to_index > applied_) {
+    if (update.whole_state()) state_.routes.clear();
+    for (const wire::route_record& record : update.routes()) {
+      const ipv4_endpoint at{{record.ip()},
+                             {static_cast<std::uint16_t>(record.port())}};
+      if (record.removed()) {
+        state_.routes.erase(at);
+      } else {
+        state_.routes[at] = DecodeRoute(record);
+      }
+    }
+    applied_ = to_index;
+    version_ = {update.manifest_version()};
+    cold_start_ = milliseconds(update.cold_start_ms());
+    state_.has_manifest = version_.value > 0;
+    notes->emplace_back(state_followed{
+        from, version_, applied_,
+        static_cast<std::size_t>(update.routes_size()), update.whole_state()});
+  }
+  UpdateClosed(now);
+}
+
+// A data centre is out when the newest state known says so, or when one of the
+// control instances that hold that state still keeps it out.
+void control_follower::UpdateClosed(instant now) {
+  log_index newest;
+  for (const auto& [name, control] : controls_) {
+    if (Hears(now, name)) newest = std::max(newest, control.closed_at);
+  }
+  if (newest.value == 0) return;
+  state_.closed.clear();
+  for (const auto& [name, control] : controls_) {
+    if (!Hears(now, name) || control.closed_at != newest) continue;
+    state_.closed.insert(control.closed.begin(), control.closed.end());
+  }
+}
+
+void control_follower::ApplyTargets(instant now, const instance_name& from,
+                                    const wire::update& update,
+                                    std::vector<follower_note>* notes) {
+  followed_control& control = controls_[from];
+  if (update.target_epoch() == 0) return;
+  if (control.target_epoch != update.target_epoch()) {
+    if (update.targets_from() != 0) return;  // It will send all.
+    // The control instance has started anew; what it said before is lost to it.
+    if (control.target_epoch != 0) state_.targets.DropSource(from);
+    control.target_epoch = update.target_epoch();
+    control.target_revision = 0;
+  }
+  if (update.targets_from() > control.target_revision) return;
+  for (const wire::target_record& record : update.targets()) {
+    auto report = DecodeTarget(record);
+    if (!report) continue;
+    if (auto change = state_.targets.Apply(now, from, *report)) {
+      notes->emplace_back(*std::move(change));
+    }
+  }
+  control.target_revision =
+      std::max<std::uint64_t>(control.target_revision, update.targets_to());
+  control.synced = true;
+  if (!first_sync_) first_sync_ = now;
+}
+
+std::vector<follow_request> control_follower::Requests(instant now) {
+  std::vector<follow_request> requests;
+  for (auto& [name, control] : controls_) {
+    if (control.asked && now - *control.asked < settings_.follow_interval) {
+      continue;
+    }
+    control.asked = now;
+    wire::fleet_message message;
+    message.set_from(settings_.self.value);
+    auto* follow = message.mutable_follow();
+    follow->set_name(settings_.self.value);
+    follow->set_data_centre(settings_.data_centre.value);
+    follow->set_control(settings_.is_control);
+    follow->set_applied(applied_.value);
+    follow->set_target_epoch(control.target_epoch);
+    follow->set_target_revision(control.target_revision);
+    requests.push_back({name, std::move(message)});
+  }
+  return requests;
+}
+
+std::vector<follower_note> control_follower::Tick(instant now) {
+  std::vector<follower_note> notes;
+  bool hears_any = false;
+  for (const auto& [name, control] : controls_) {
+    hears_any = hears_any || Hears(now, name);
+  }
+  for (auto it = controls_.begin(); it != controls_.end();) {
+    auto& [name, control] = *it;
+    const bool is_seed =
+        std::find(settings_.seeds.begin(), settings_.seeds.end(), name) !=
+        settings_.seeds.end();
+    if (control.heard && !Hears(now, name) && !control.claims_dropped) {
+      const auto silent = now - *control.heard;
+      // Alone, the last that was known is better than nothing.
+      if (hears_any && silent > kClaimsAfterLoss) {
+        control.claims_dropped = true;
+        // Whatever it says when it's back, it says from the start.
+        control.target_epoch = 0;
+        control.target_revision = 0;
+        control.synced = false;
+        state_.targets.DropSource(name);
+        notes.emplace_back(control_lost{
+            name, std::chrono::duration_cast<milliseconds>(silent)});
+      }
+    }
+    const instant last =
+        std::max(control.listed, control.heard.value_or(instant{}));
+    if (!is_seed && hears_any && now - last > kForgetControl) {
+      state_.targets.DropSource(name);
+      it = controls_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  if (hears_any) state_.targets.Forget(now, kForgetTarget);
+  return notes;
+}
+
+bool control_follower::IsSynced(instant now) const {
+  if (!state_.has_manifest || !first_sync_) return false;
+  if (now - *first_sync_ >= kSyncOthers) return true;
+  return std::all_of(controls_.begin(), controls_.end(),
+                     [](const auto& each) { return each.second.synced; });
+}
+
+}  // namespace lavendertack
--- /dev/null
+++ b/Source/Following/target_codec.cc
@@ -0,0 +1,99 @@
+#include "Following/target_codec.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace lavendertack {
+namespace {
+
+wire::target_phase EncodePhase(target_phase phase) {
+  switch (phase) {
+    case target_phase::kReady:
+      return wire::PHASE_READY;
+    case target_phase::kDraining:
+      return wire::PHASE_DRAINING;
+    case target_phase::kGone:
+      return wire::PHASE_GONE;
+    case target_phase::kSilent:
+      return wire::PHASE_SILENT;
+  }
+  return wire::PHASE_SILENT;
+}
+
+std::optional<target_phase> DecodePhase(wire::target_phase phase) {
+  switch (phase) {
+    case wire::PHASE_READY:
+      return target_phase::kReady;
+    case wire::PHASE_DRAINING:
+      return target_phase::kDraining;
+    case wire::PHASE_GONE:
+      return target_phase::kGone;
+    case wire::PHASE_SILENT:
+      return target_phase::kSilent;
+    default:
+      return std::nullopt;
+  }
+}
+
+}  // namespace
+
+wire::target_record EncodeTarget(instant now, const booked_target& target) {
+  const target_report& report = target.report;
+  wire::target_record record;
+  record.set_id(report.id.value);
+  record.set_started_ms(report.age.started_ms);
+  record.set_sequence(report.age.sequence);
+  record.set_service(report.service.value);
+  record.set_ip(report.address.ip.value);
+  record.set_port(report.address.port.value);
+  record.set_data_centre(report.data_centre.value);
+  record.set_slots(report.slots);
+  record.set_phase(EncodePhase(report.phase));
+  const auto left =
+      std::chrono::ceil<milliseconds>(target.cold_until - now).count();
+  record.set_cold_left_ms(static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+      left, 0, std::numeric_limits<std::uint32_t>::max())));
+  return record;
+}
+
+std::optional<target_report> DecodeTarget(const wire::target_record& record) {
+  const auto phase = DecodePhase(record.phase());
+  if (!phase || record.id().empty() ||
+      record.port() > std::numeric_limits<std::uint16_t>::max()) {
+    return std::nullopt;
+  }
+  return target_report{
+      .id = {record.id()},
+      .age = {record.started_ms(), record.sequence()},
+      .service = {record.service()},
+      .address = {{record.ip()}, {static_cast<std::uint16_t>(record.port())}},
+      .data_centre = {record.data_centre()},
+      .slots = record.slots(),
+      .phase = *phase,
+      .cold_left = milliseconds(record.cold_left_ms())};
+}
+
+wire::route_record EncodeRoute(const route_change& change) {
+  wire::route_record record;
+  record.set_ip(change.at.ip.value);
+  record.set_port(change.at.port.value);
+  record.set_removed(change.now == nullptr);
+  if (change.now == nullptr) return record;
+  record.set_priority(change.now->priority);
+  for (const traffic_share& share : change.now->shares) {
+    auto* encoded = record.add_shares();
+    encoded->set_service(share.service.value);
+    encoded->set_weight(share.weight);
+  }
+  return record;
+}
+
+route DecodeRoute(const wire::route_record& record) {
+  route decoded{.shares = {}, .priority = record.priority()};
+  for (const auto& share : record.shares()) {
+    decoded.shares.push_back({{share.service()}, share.weight()});
+  }
+  return decoded;
+}
+
+}  // namespace lavendertack
--- /dev/null
+++ b/Source/Forwarding/flow_router.cc
@@ -0,0 +1,154 @@
+#include "Forwarding/flow_router.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace lavendertack {
+namespace {
+
+// Opening packets remembered at a time: at 1,000 new flows a second more than
+// the time in which callers repeat them.
+constexpr std::size_t kMaxAttempts = 16'384;
+// Callers give an attempt up after 1.4 s.
+constexpr milliseconds kAttemptLifetime{1500};
+// A target that said it ends may still be answering what has reached it; only
+// then are its callers told that their connections are over.
+constexpr milliseconds kEndingTime{1000};
+
+}  // namespace
+
+const char* ToString(forward_reason reason) {
+  switch (reason) {
+    case forward_reason::kOpened:
+      return "opened";
+    case forward_reason::kOpenedAgain:
+      return "opened_again";
+    case forward_reason::kFollows:
+      return "follows";
+    case forward_reason::kNoRoute:
+      return "no_route";
+    case forward_reason::kNoTarget:
+      return "no_target";
+    case forward_reason::kTargetOver:
+      return "target_over";
+    case forward_reason::kNotYetCurrent:
+      return "not_yet_current";
+    case forward_reason::kNoTag:
+      return "no_tag";
+    case forward_reason::kUnknownTag:
+      return "unknown_tag";
+  }
+  return "unknown";
+}
+
+flow_router::flow_router(const routing_state* state, std::uint64_t seed)
+    : state_(state), random_(seed), attempts_(kMaxAttempts) {
+  choice_ = [this](instant now,
+                   const std::vector<const known_target*>& candidates) {
+    return LeastLoaded(now, candidates);
+  };
+}
+
+forward_verdict flow_router::Route(instant now, const flow_packet& packet) {
+  if (!state_->has_manifest) return drop_packet{forward_reason::kNotYetCurrent};
+  return packet.opens ? Open(now, packet) : Follow(now, packet);
+}
+
+forward_verdict flow_router::Open(instant now, const flow_packet& packet) {
+  auto found = state_->routes.find(packet.flow.route);
+  if (found == state_->routes.end()) {
+    return reset_caller{forward_reason::kNoRoute};
+  }
+  target_tag unanswered;
+  service_name service;
+  if (auto earlier = attempts_.Take(packet.flow)) {
+    load_.AddPending(earlier->tag, -1);
+    if (packet.copy > 0) {
+      unanswered = earlier->tag;
+      load_.Unanswered(now, unanswered);
+    }
+    service = earlier->service;
+  }
+  const auto& shares = found->second.shares;
+  const bool is_allowed =
+      std::any_of(shares.begin(), shares.end(), [&](const auto& share) {
+        return share.service == service && share.weight > 0;
+      });
+  if (!is_allowed) service = PickService(found->second);
+  const known_target* target = PickTarget(now, service, unanswered);
+  if (target == nullptr) return reset_caller{forward_reason::kNoTarget};
+  load_.Opened(now, target->tag);
+  load_.AddPending(target->tag, 1);
+  attempts_.Remember(packet.flow, {target->tag, service, now});
+  return forward_to_target{target, unanswered.value == 0
+                                       ? forward_reason::kOpened
+                                       : forward_reason::kOpenedAgain};
+}
+
+forward_verdict flow_router::Follow(instant now, const flow_packet& packet) {
+  if (!state_->routes.contains(packet.flow.route)) {
+    return reset_caller{forward_reason::kNoRoute};
+  }
+  if (packet.tag.value == 0) return drop_packet{forward_reason::kNoTag};
+  if (auto attempt = attempts_.Take(packet.flow)) {
+    load_.AddPending(attempt->tag, -1);
+    load_.Answered(packet.tag);
+  }
+  const known_target* target = state_->targets.FindByTag(packet.tag);
+  if (target == nullptr) return drop_packet{forward_reason::kUnknownTag};
+  if (target->IsOver() && now - target->changed > kEndingTime) {
+    return reset_caller{forward_reason::kTargetOver};
+  }
+  if (packet.data_bytes > 0) load_.Carried(now, packet.tag);
+  return forward_to_target{target, forward_reason::kFollows};
+}
+
+const service_name& flow_router::PickService(const route& wanted) {
+  std::uint64_t total = 0;
+  for (const traffic_share& share : wanted.shares) total += share.weight;
+  CHECK_GT(total, 0U) << "a route without any weight was accepted";
+  std::uint64_t at = random_() % total;
+  for (const traffic_share& share : wanted.shares) {
+    if (at < share.weight) return share.service;
+    at -= share.weight;
+  }
+  return wanted.shares.back().service;
+}
+
+const known_target* flow_router::PickTarget(instant now,
+                                            const service_name& service,
+                                            target_tag unanswered) {
+  std::vector<const known_target*> suspects;
+  candidates_.clear();
+  for (const known_target* target : state_->targets.OfService(service)) {
+    if (!target->IsOpen(now)) continue;
+    if (state_->closed.contains(target->report.data_centre)) continue;
+    const bool avoid =
+        target->tag == unanswered || load_.IsSuspect(now, target->tag);
+    (avoid ? suspects : candidates_).push_back(target);
+  }
+  if (candidates_.empty()) candidates_ = std::move(suspects);
+  if (candidates_.empty()) return nullptr;
+  return choice_(now, candidates_);
+}
+
+// The less loaded of two random ones: instances that see the same don't all
+// pick the same one.
+const known_target* flow_router::LeastLoaded(
+    instant now, const std::vector<const known_target*>& candidates) {
+  const std::size_t first = random_() % candidates.size();
+  const std::size_t second = random_() % candidates.size();
+  const known_target* a = candidates[first];
+  const known_target* b = candidates[second];
+  return load_.Recent(now, a->tag) <= load_.Recent(now, b->tag) ? a : b;
+}
+
+void flow_router::Tick(instant now) {
+  attempts_.Expire(now - kAttemptLifetime, [this](const open_attempt& lost) {
+    load_.AddPending(lost.tag, -1);
+  });
+  load_.Forget(now);
+}
+
+}  // namespace lavendertack
--- /dev/null
+++ b/Source/Forwarding/flow_router.h
@@ -0,0 +1,66 @@
+// Where each packet of a caller goes. A packet of an open connection names its
+// target itself, so no table of flows is kept and any instance can forward it;
+// an opening packet is placed on a target of the route's service.
+#ifndef LAVENDERTACK_FORWARDING_FLOW_ROUTER_H_
+#define LAVENDERTACK_FORWARDING_FLOW_ROUTER_H_
+
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "Common/instant.h"
+#include "Forwarding/open_attempts.h"
+#include "Forwarding/packet.h"
+#include "Forwarding/target_load.h"
+#include "Manifest/manifest.h"
+#include "Targets/target_view.h"
+
+namespace lavendertack {
+
+// What forwarding follows; kept up to date by its owner.
+struct routing_state {
+  bool has_manifest = false;
+  std::unordered_map<ipv4_endpoint, route> routes;
+  std::set<data_centre_name> closed;  // New flows keep out of these.
+  target_view targets;
+};
+
+// Which of the candidates gets a new flow; there is at least one.
+using choose_target = std::function<const known_target*(
+    instant now, const std::vector<const known_target*>& candidates)>;
+
+class flow_router {
+ public:
+  // `state` must outlive the router.
+  flow_router(const routing_state* state, std::uint64_t seed);
+
+  forward_verdict Route(instant now, const flow_packet& packet);
+  void Tick(instant now);
+
+  // The baseline in tests: another choice than the one by load.
+  void set_choice(choose_target choice) { choice_ = std::move(choice); }
+  const target_load& load() const { return load_; }
+
+ private:
+  forward_verdict Open(instant now, const flow_packet& packet);
+  forward_verdict Follow(instant now, const flow_packet& packet);
+  const service_name& PickService(const route& wanted);
+  const known_target* PickTarget(instant now, const service_name& service,
+                                 target_tag unanswered);
+  const known_target* LeastLoaded(
+      instant now, const std::vector<const known_target*>& candidates);
+
+  const routing_state* state_;
+  std::mt19937_64 random_;
+  target_load load_;
+  open_attempts attempts_;
+  choose_target choice_;
+  std::vector<const known_target*> candidates_;  // Reused; empty between calls.
+};
+
+}  // namespace lavendertack
+
+#endif  // LAVENDERTACK_FORWARDING_FLOW_ROUTER_H_
--- a/Source/Json/object_reader.cc
+++ b/Source/Json/object_reader.cc
@@ -130,6 +130,16 @@
   return number;
 }
 
+double object_reader::Decimal(const std::string& key) {
+  const json* value = Require(key);
+  if (value == nullptr) return 0;
+  if (!value->is_number() || value->get<double>() < 0) {
+    Fail(key, "is not a number of at least 0");
+    return 0;
+  }
+  return value->get<double>();
+}
+
 bool object_reader::Bool(const std::string& key) {
   const json* value = Require(key);
   if (value == nullptr) return false;
--- a/Source/Json/object_reader.h
+++ b/Source/Json/object_reader.h
@@ -47,6 +47,8 @@
   // Text of 1 to `max_bytes` bytes without control characters.
   std::string Text(const std::string& key, std::size_t max_bytes);
   std::uint64_t Number(const std::string& key, const number_range& range);
+  // A number of at least 0, with or without a fraction.
+  double Decimal(const std::string& key);
   bool Bool(const std::string& key);
   // The list at `key`, or null.
   const nlohmann::json* List(const std::string& key);
--- /dev/null
+++ b/Source/Manifest/published_state.cc
@@ -0,0 +1,201 @@
+#include "Manifest/published_state.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace lavendertack {
+namespace {
+
+// Removed routes that are remembered for followers that are behind. One more,
+// and all followers take the whole set once.
+constexpr std::size_t kMaxRememberedRoutes = 8192;
+
+// Every entry was encoded by an instance of the same cluster.
+wire::published_entry Decode(const std::string& entry) {
+  wire::published_entry decoded;
+  CHECK(decoded.ParseFromString(entry)) << "an agreed entry can't be read";
+  return decoded;
+}
+
+bool IsNew(const replica_set& voters, const wire::replica_change& change) {
+  const instance_name removed{change.removed()};
+  const instance_name added{change.added()};
+  if (!removed.value.empty() &&
+      !IsVoter(voters, removed, {change.removed_storage()})) {
+    return false;
+  }
+  const bool same_name = added == removed;
+  return added.value.empty() || same_name || !voters.contains(added);
+}
+
+}  // namespace
+
+milliseconds LongestColdStart(const manifest& published) {
+  milliseconds longest{0};
+  for (const manifest_service& service : published.services) {
+    longest = std::max(longest, service.cold_start);
+  }
+  return longest;
+}
+
+std::string EncodeOrder(std::uint64_t nonce, const published_order& order) {
+  wire::published_entry entry;
+  entry.set_order(nonce);
+  if (const auto* publish = std::get_if<publish_manifest>(&order)) {
+    entry.mutable_manifest()->set_version(publish->version.value);
+    entry.mutable_manifest()->set_text(publish->text);
+  } else if (const auto* evacuation = std::get_if<set_evacuation>(&order)) {
+    entry.mutable_evacuation()->set_data_centre(evacuation->data_centre.value);
+    entry.mutable_evacuation()->set_closed(evacuation->closed);
+  } else if (const auto* change = std::get_if<replica_change>(&order)) {
+    auto* replicas = entry.mutable_replicas();
+    replicas->set_removed(change->removed.value);
+    replicas->set_removed_storage(change->removed_storage.value);
+    replicas->set_added(change->added.value);
+    replicas->set_added_storage(change->added_storage.value);
+  } else {
+    entry.mutable_read()->set_nonce(nonce);
+  }
+  return entry.SerializeAsString();
+}
+
+bool published_state::Admits(const std::string& entry) const {
+  const wire::published_entry decoded = Decode(entry);
+  if (decoded.has_manifest()) {
+    return decoded.manifest().version() > manifest_.version.value;
+  }
+  if (decoded.has_evacuation()) {
+    const auto& order = decoded.evacuation();
+    return order.closed() != closed_.contains({order.data_centre()});
+  }
+  return decoded.has_replicas() && IsNew(voters_, decoded.replicas());
+}
+
+void published_state::Apply(log_index index, const std::string& entry) {
+  const wire::published_entry decoded = Decode(entry);
+  if (decoded.has_founding()) {
+    voters_ = Founded(entry);
+    return;
+  }
+  if (!Admits(entry)) return;
+  if (decoded.has_replicas()) {
+    const wire::replica_change& change = decoded.replicas();
+    voters_.erase({change.removed()});
+    if (!change.added().empty()) {
+      voters_[{change.added()}] = {change.added_storage()};
+    }
+    return;
+  }
+  if (decoded.has_evacuation()) {
+    const data_centre_name name{decoded.evacuation().data_centre()};
+    if (decoded.evacuation().closed()) {
+      closed_.insert(name);
+    } else {
+      closed_.erase(name);
+    }
+    changed_at_ = index;
+    return;
+  }
+  Publish(index, decoded.manifest());
+}
+
+void published_state::Publish(log_index index,
+                              const wire::manifest_entry& entry) {
+  auto decoded = decode_(entry.text());
+  CHECK(decoded) << "an agreed manifest can't be read";
+  text_ = entry.text();
+  ReplaceRoutes(index, *std::move(decoded));
+  manifest_.version = {entry.version()};
+  changed_at_ = index;
+}
+
+void published_state::ReplaceRoutes(log_index index, manifest next) {
+  for (const auto& [at, route] : next.routes) {
+    auto old = manifest_.routes.find(at);
+    if (old == manifest_.routes.end() || old->second != route) {
+      route_changed_[at] = index;
+    }
+  }
+  for (const auto& [at, route] : manifest_.routes) {
+    if (!next.routes.contains(at)) route_changed_[at] = index;
+  }
+  manifest_ = std::move(next);
+  if (route_changed_.size() > manifest_.routes.size() + kMaxRememberedRoutes) {
+    route_changed_.clear();
+    routes_known_from_ = index;
+  }
+}
+
+std::optional<std::vector<route_change>> published_state::RoutesSince(
+    log_index index) const {
+  if (index < routes_known_from_ || index.value == 0) return std::nullopt;
+  std::vector<route_change> changes;
+  for (const auto& [at, changed] : route_changed_) {
+    if (changed <= index) continue;
+    auto it = manifest_.routes.find(at);
+    changes.push_back(
+        {at, it == manifest_.routes.end() ? nullptr : &it->second});
+  }
+  return changes;
+}
+
+std::string published_state::Save() const {
+  wire::published_snapshot snapshot;
+  for (const auto& [name, storage] : voters_) {
+    auto* voter = snapshot.add_voters();
+    voter->set_name(name.value);
+    voter->set_storage_id(storage.value);
+  }
+  snapshot.mutable_manifest()->set_version(manifest_.version.value);
+  snapshot.mutable_manifest()->set_text(text_);
+  for (const data_centre_name& name : closed_) {
+    snapshot.add_closed_data_centres(name.value);
+  }
+  return snapshot.SerializeAsString();
+}
+
+void published_state::Load(log_index index, const std::string& state) {
+  wire::published_snapshot snapshot;
+  CHECK(snapshot.ParseFromString(state)) << "a snapshot can't be read";
+  voters_.clear();
+  closed_.clear();
+  route_changed_.clear();
+  manifest_ = {};
+  text_ = snapshot.manifest().text();
+  for (const wire::replica& voter : snapshot.voters()) {
+    voters_[{voter.name()}] = {voter.storage_id()};
+  }
+  for (const std::string& name : snapshot.closed_data_centres()) {
+    closed_.insert({name});
+  }
+  if (snapshot.manifest().version() > 0) {
+    auto decoded = decode_(text_);
+    CHECK(decoded) << "a saved manifest can't be read";
+    manifest_ = *std::move(decoded);
+    manifest_.version = {snapshot.manifest().version()};
+  }
+  changed_at_ = index;
+  routes_known_from_ = index;
+}
+
+std::string published_state::Found(const replica_set& voters) {
+  wire::published_entry entry;
+  for (const auto& [name, storage] : voters) {
+    auto* replica = entry.mutable_founding()->add_replicas();
+    replica->set_name(name.value);
+    replica->set_storage_id(storage.value);
+  }
+  return entry.SerializeAsString();
+}
+
+replica_set published_state::Founded(const std::string& entry) {
+  replica_set voters;
+  const wire::published_entry decoded = Decode(entry);
+  for (const wire::replica& replica : decoded.founding().replicas()) {
+    voters[{replica.name()}] = {replica.storage_id()};
+  }
+  return voters;
+}
+
+}  // namespace lavendertack
--- a/Source/Runtime/admin_queue.h
+++ b/Source/Runtime/admin_queue.h
@@ -23,6 +23,7 @@
   unsigned status = 200;
   std::string body;
   std::string content_type = "application/json";
+  std::string location;  // Where else to ask; empty for none.
 };
 
 // An operator's request without answer for so long is answered as open.
--- a/Source/Runtime/admin_server.h
+++ b/Source/Runtime/admin_server.h
@@ -1,12 +1,10 @@
-// The HTTP server of the administration API, on cxxtools::http.
+// The HTTP server of the administration API.
 #ifndef LAVENDERTACK_RUNTIME_ADMIN_SERVER_H_
 #define LAVENDERTACK_RUNTIME_ADMIN_SERVER_H_
 
-#include <memory>
-#include <thread>
+#include <string>
 
-#include "Config/settings.h"
-#include "Runtime/admin_queue.h"
+#include "Runtime/http_server.h"
 
 namespace lavendertack {
 
@@ -15,14 +13,9 @@
   // `token` is what changes need. Throws std::exception when the address can't
   // be listened on.
   admin_server(const endpoint& address, std::string token, admin_queue* queue);
-  admin_server(const admin_server&) = delete;
-  admin_server& operator=(const admin_server&) = delete;
-  ~admin_server();
 
  private:
-  struct impl;
-  std::unique_ptr<impl> impl_;
-  std::thread thread_;
+  http_server server_;
 };
 
 }  // namespace lavendertack
--- a/Source/Runtime/caller_socket.cc
+++ b/Source/Runtime/caller_socket.cc
@@ -7,10 +7,10 @@
 
 #include <array>
 #include <cerrno>
-#include <charconv>
 #include <cstring>
 #include <optional>
 
+#include "Common/ipv4.h"
 #include "Wire/codec.h"
 
 namespace lavendertack {
@@ -25,39 +25,17 @@
 }  // namespace
 
 caller_address ToCallerAddress(const sockaddr_in& address) {
-  // Three digits and a separator for each byte, and the port.
-  std::array<char, 4 * 4 + 5> text{};
-  char* at = text.data();
-  char* const end = text.data() + text.size();
-  const std::uint32_t ip = ntohl(address.sin_addr.s_addr);
-  for (const int shift : {24, 16, 8, 0}) {
-    at = std::to_chars(at, end, (ip >> shift) & 0xff).ptr;
-    *at++ = shift == 0 ? ':' : '.';
-  }
-  at = std::to_chars(at, end, ntohs(address.sin_port)).ptr;
-  return {std::string(text.data(), at)};
+  return {ToString(ipv4_endpoint{{ntohl(address.sin_addr.s_addr)},
+                                 {ntohs(address.sin_port)}})};
 }
 
 std::optional<sockaddr_in> ToSockaddr(const caller_address& address) {
-  const char* at = address.value.data();
-  const char* const end = at + address.value.size();
-  std::uint32_t ip = 0;
-  for (const char separator : {'.', '.', '.', ':'}) {
-    std::uint8_t byte = 0;
-    const auto [rest, error] = std::from_chars(at, end, byte);
-    if (error != std::errc() || rest == end || *rest != separator) {
-      return std::nullopt;
-    }
-    ip = ip << 8 | byte;
-    at = rest + 1;
-  }
-  std::uint16_t port = 0;
-  const auto [rest, error] = std::from_chars(at, end, port);
-  if (error != std::errc() || rest != end || port == 0) return std::nullopt;
+  const auto parsed = ParseIpv4Endpoint(address.value);
+  if (!parsed) return std::nullopt;
   sockaddr_in result{};
   result.sin_family = AF_INET;
-  result.sin_addr.s_addr = htonl(ip);
-  result.sin_port = htons(port);
+  result.sin_addr.s_addr = htonl(parsed->ip.value);
+  result.sin_port = htons(parsed->port.value);
   return result;
 }
 
--- /dev/null
+++ b/Source/Runtime/control_loop.cc
@@ -0,0 +1,381 @@
+#include "Runtime/control_loop.h"
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <optional>
+#include <zmq.hpp>
+
+#include "Control/control_instance.h"
+#include "Runtime/fleet_links.h"
+#include "Runtime/http_server.h"
+#include "Runtime/process_time.h"
+#include "Storage/record_log.h"
+
+namespace lavendertack {
+namespace {
+
+// Time between two ticks of the instance.
+constexpr milliseconds kTickInterval{25};
+// Calls that are handled at a time: eight orders, and targets' reports.
+constexpr unsigned kCallThreads = 24;
+// A call without outcome for so long is answered as unsure.
+constexpr milliseconds kCallTimeout{4000};
+// Time between two tries to write to a disk that failed.
+constexpr milliseconds kStorageRetry{500};
+// The log of entries in memory: manifests are large and come whole, so a peer
+// that is further behind takes the whole state.
+constexpr log_limits kLogLimits{.kept_entries = 24,
+                                .snapshot_interval = seconds(1)};
+
+control_settings ControlSettings(const fleet_settings& from,
+                                 bool was_started_before) {
+  const auto& role = std::get<control_addresses>(from.role);
+  control_settings result{.self = ControlName(from.self),
+                          .data_centre = from.data_centre,
+                          .seeds = ControlNames(from.seeds),
+                          .founders = {},
+                          .fresh_storage = {RandomNumber() | 1},
+                          .seed = RandomNumber(),
+                          .tolerated_losses = role.tolerated_losses,
+                          .heartbeat_interval = from.heartbeat_interval,
+                          .limits = kLogLimits};
+  // A founder that was stopped before the first entry goes on as one.
+  if (role.founds_fleet || was_started_before) {
+    result.founders = result.seeds;
+    std::sort(result.founders.begin(), result.founders.end());
+  }
+  return result;
+}
+
+class control_loop {
+ public:
+  control_loop(const fleet_settings& settings, const fleet_adapter& adapter,
+               settings_file* file, process_signals* signals)
+      : settings_(settings),
+        role_(std::get<control_addresses>(settings.role)),
+        adapter_(adapter),
+        file_(file),
+        signals_(signals),
+        log_(MakeEventLog(settings)),
+        wake_file_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
+        calls_([this] { eventfd_write(wake_file_, 1); }, kCallTimeout),
+        links_(&context_, settings.peer_port) {}
+
+  ~control_loop() { close(wake_file_); }
+  control_loop(const control_loop&) = delete;
+  control_loop& operator=(const control_loop&) = delete;
+
+  std::optional<fleet_error> Start() {
+    if (auto error = OpenRecords()) return error;
+    links_.Listen(settings_.self);
+    server_ = std::make_unique<http_server>(
+        endpoint{ToString(role_.calls.ip), role_.calls.port.value},
+        http_limits{.body_bytes = adapter_.calls.max_body_bytes,
+                    .threads = kCallThreads},
+        [this](http_request request) {
+          return calls_.Ask(std::move(request));
+        });
+    return std::nullopt;
+  }
+
+  void Run() {
+    next_tick_ = Now();
+    while (signals_->stop == 0) {
+      Poll();
+      links_.Receive(Now(), [this](const link_id& link, auto message) {
+        Dispatch(control_message{link, std::move(message)});
+      });
+      HandleCalls();
+      if (Now() >= next_tick_) Tick();
+    }
+    log_.Write("stopping", {{"signals", signals_->stop.load()}});
+    calls_.Close();
+    for (auto& [call, waiting] : waiting_) {
+      waiting.answer(adapter_.calls.answer_order(
+          waiting.request, order_unsure{"the instance stops"}, waiting.is_read,
+          control_->published(), role_.calls.port));
+    }
+    server_.reset();
+    log_.Write("stopped", {{"role", "control"}});
+    log_.Tick(Now());
+  }
+
+ private:
+  struct waiting_call {
+    http_request request;
+    bool is_read = false;
+    admin_queue::answer_function answer;
+  };
+
+  std::string RecordsPath() const { return role_.data_folder + "/control.log"; }
+
+  std::optional<fleet_error> OpenRecords() {
+    std::error_code failed;
+    std::filesystem::create_directories(role_.data_folder, failed);
+    if (failed) {
+      return fleet_error{role_.data_folder + ": " + failed.message()};
+    }
+    auto opened = records_.Open(RecordsPath());
+    if (auto* error = std::get_if<storage_error>(&opened)) {
+      return fleet_error{error->path + ": " + error->reason};
+    }
+    const auto& found = std::get<opened_log>(opened);
+    control_ = std::make_unique<control_instance>(
+        ControlSettings(settings_, !found.records.empty()),
+        adapter_.decode_manifest);
+    for (const std::string& bytes : found.records) {
+      wire::stored_record record;
+      if (!record.ParseFromString(bytes)) {
+        return fleet_error{RecordsPath() + ": a record can't be read"};
+      }
+      control_->Restore(record);
+    }
+    log_.Write(
+        "started",
+        {{"role", "control"},
+         {"calls", ToString(role_.calls)},
+         {"data_centre", settings_.data_centre.value},
+         {"founds_fleet", role_.founds_fleet},
+         {"records", static_cast<std::int64_t>(found.records.size())},
+         {"torn_bytes", static_cast<std::int64_t>(found.torn_bytes)},
+         {"entry",
+          static_cast<std::int64_t>(control_->agreed().chosen_index().value)},
+         {"manifest", static_cast<std::int64_t>(
+                          control_->published().published().version.value)}});
+    if (found.read_only) FailStorage(*found.read_only);
+    return std::nullopt;
+  }
+
+  void Poll() {
+    std::vector<zmq::pollitem_t> items = links_.PollItems();
+    items.push_back({nullptr, wake_file_, ZMQ_POLLIN, 0});
+    const auto wait = std::max(
+        milliseconds(0), std::chrono::ceil<milliseconds>(next_tick_ - Now()));
+    try {
+      zmq::poll(items.data(), items.size(), wait);
+    } catch (const zmq::error_t& error) {
+      if (error.num() != EINTR) throw;
+    }
+  }
+
+  void Tick() {
+    const instant now = Now();
+    next_tick_ = now + kTickInterval;
+    if (auto changed =
+            file_->ReadChanged(now, signals_->reload.exchange(false), &log_)) {
+      Dispatch(seeds_changed{ControlNames(changed->seeds)});
+    }
+    RetryStorage(now);
+    Dispatch(control_tick{});
+    std::set<instance_name> controls;
+    for (const auto& [name, control] : control_->peers().controls()) {
+      controls.insert(name);
+    }
+    for (const auto& [name, storage] : control_->published().voters()) {
+      controls.insert(name);
+    }
+    links_.Tick(now, controls);
+    log_.Tick(now);
+  }
+
+  void RetryStorage(instant now) {
+    if (!storage_failed_ || now - *storage_failed_ < kStorageRetry) return;
+    storage_failed_ = now;
+    record_log records;
+    auto opened = records.Open(RecordsPath());
+    const auto* found = std::get_if<opened_log>(&opened);
+    if (found == nullptr || found->read_only) return;
+    records_ = std::move(records);
+    storage_failed_.reset();
+    log_.Write("storage_restored", {{"file", RecordsPath()}});
+    Dispatch(storage_restored{});
+  }
+
+  void FailStorage(const storage_error& error) {
+    if (!storage_failed_) {
+      log_.Write("storage_failed",
+                 {{"file", error.path}, {"reason", error.reason}});
+    }
+    storage_failed_ = Now();
+    tell_failure_ = true;
+  }
+
+  void HandleCalls() {
+    eventfd_t ignored = 0;
+    eventfd_read(wake_file_, &ignored);
+    for (admin_queue::item& item : calls_.TakeAll()) HandleCall(&item);
+  }
+
+  void HandleCall(admin_queue::item* item) {
+    control_call call = adapter_.calls.decode(item->request);
+    if (const auto* refused = std::get_if<refused_call>(&call)) {
+      log_.Write("call_refused", {{"method", item->request.method},
+                                  {"path", item->request.path},
+                                  {"status", refused->status},
+                                  {"reason", refused->reason}});
+      item->answer(adapter_.calls.answer_refused(*refused));
+    } else if (auto* report = std::get_if<target_reported>(&call)) {
+      const target_phase phase = report->report.phase;
+      Dispatch(std::move(*report));
+      item->answer(
+          adapter_.calls.answer_report(control_->MayConfirm(Now(), phase)));
+    } else if (auto* ended = std::get_if<target_ended>(&call)) {
+      Dispatch(std::move(*ended));
+      item->answer(adapter_.calls.answer_report(
+          control_->MayConfirm(Now(), target_phase::kGone)));
+    } else {
+      auto& order = std::get<published_order>(call);
+      const operator_call id{++last_call_};
+      waiting_[id] = {std::move(item->request),
+                      std::holds_alternative<read_published>(order),
+                      std::move(item->answer)};
+      waiting_[id].request.body.clear();
+      Dispatch(operator_ordered{id, std::move(order)});
+    }
+  }
+
+  void Dispatch(const control_event& event) {
+    for (control_effect& effect : control_->Reduce(Now(), event)) {
+      std::visit([this](auto& e) { Carry(e); }, effect);
+    }
+    if (std::exchange(tell_failure_, false)) Dispatch(storage_failed{});
+  }
+
+  // Until the reducer knows, nothing leaves that may rest on the lost record.
+  bool IsStorageLost() const { return tell_failure_; }
+
+  void Carry(const persist_record& effect) {
+    if (storage_failed_) return;
+    auto written = records_.Append(effect.record.SerializeAsString());
+    if (const auto* error = std::get_if<storage_error>(&written)) {
+      FailStorage(*error);
+    }
+  }
+  void Carry(const rewrite_records& effect) {
+    if (storage_failed_) return;
+    std::vector<std::string> records;
+    for (const wire::stored_record& record : effect.records) {
+      records.push_back(record.SerializeAsString());
+    }
+    auto written = records_.Rewrite(records);
+    if (const auto* error = std::get_if<storage_error>(&written)) {
+      FailStorage(*error);
+    }
+  }
+  void Carry(const founding_stuck& effect) {
+    log_.Write("founding_stuck", {{"control", effect.replica.value}});
+  }
+  void Carry(const answer_operator& effect) {
+    auto it = waiting_.find(effect.call);
+    if (it == waiting_.end()) return;
+    const order_outcome outcome = IsStorageLost()
+                                      ? order_unsure{"the disk takes no record"}
+                                      : effect.outcome;
+    LogOrder(it->second.request, outcome);
+    it->second.answer(adapter_.calls.answer_order(
+        it->second.request, outcome, it->second.is_read, control_->published(),
+        role_.calls.port));
+    waiting_.erase(it);
+  }
+  void Carry(const send_to_control& effect) {
+    if (!IsStorageLost()) links_.Send(Now(), effect.to, effect.message);
+  }
+  void Carry(const send_to_follower& effect) {
+    if (!IsStorageLost()) links_.Reply(effect.to, effect.message);
+  }
+  void Carry(const report_noted& effect) {
+    const target_report& report = effect.report;
+    log_.Write(
+        "target_reported",
+        {{"target", report.id.value},
+         {"phase", ToString(report.phase)},
+         {"service", report.service.value},
+         {"address", ToString(report.address)},
+         {"started_ms", static_cast<std::int64_t>(report.age.started_ms)},
+         {"sequence", static_cast<std::int64_t>(report.age.sequence)},
+         {"cold_left_ms", report.cold_left.count()},
+         {"outdated", effect.verdict == report_verdict::kOutdated}});
+  }
+  void Carry(const voters_planned& effect) {
+    log_.Write("voters_planned", {{"removed", effect.change.removed.value},
+                                  {"added", effect.change.added.value}});
+  }
+  void Carry(const state_published& effect) {
+    std::string closed;
+    for (const data_centre_name& name : effect.closed) {
+      closed += (closed.empty() ? "" : ",") + name.value;
+    }
+    log_.Write("state_published",
+               {{"entry", static_cast<std::int64_t>(effect.index.value)},
+                {"manifest", static_cast<std::int64_t>(effect.version.value)},
+                {"closed", closed}});
+  }
+  void Carry(const majority_changed& effect) {
+    log_.Write("majority", {{"heard", effect.heard}});
+  }
+  void Carry(const follower_note& effect) { LogNote(&log_, effect); }
+
+  void LogOrder(const http_request& request, const order_outcome& outcome) {
+    std::string result = "done";
+    std::string detail;
+    if (const auto* other = std::get_if<order_redirected>(&outcome)) {
+      result = "redirected";
+      detail = other->to.value;
+    } else if (const auto* unsure = std::get_if<order_unsure>(&outcome)) {
+      result = "unsure";
+      detail = unsure->reason;
+    }
+    log_.Write(
+        "order",
+        {{"method", request.method},
+         {"path", request.path},
+         {"result", result},
+         {"detail", detail},
+         {"entry",
+          static_cast<std::int64_t>(control_->agreed().chosen_index().value)},
+         {"manifest", static_cast<std::int64_t>(
+                          control_->published().published().version.value)}});
+  }
+
+  const fleet_settings& settings_;
+  const control_addresses& role_;
+  const fleet_adapter& adapter_;
+  settings_file* file_;
+  process_signals* signals_;
+  event_log log_;
+  int wake_file_;
+  admin_queue calls_;
+  zmq::context_t context_;
+  fleet_links links_;
+  record_log records_;
+  std::unique_ptr<control_instance> control_;
+  std::unique_ptr<http_server> server_;
+  std::map<operator_call, waiting_call> waiting_;
+  std::uint64_t last_call_ = 0;
+  // When the disk last refused a record.
+  std::optional<instant> storage_failed_;
+  bool tell_failure_ = false;  // The reducer is still to be told.
+  instant next_tick_;
+};
+
+}  // namespace
+
+std::variant<std::monostate, fleet_error> RunControl(
+    const fleet_settings& settings, const fleet_adapter& adapter,
+    settings_file* file, process_signals* signals) {
+  try {
+    control_loop loop(settings, adapter, file, signals);
+    if (auto error = loop.Start()) return *error;
+    loop.Run();
+  } catch (const std::exception& error) {
+    return fleet_error{error.what()};
+  }
+  return std::monostate{};
+}
+
+}  // namespace lavendertack
--- /dev/null
+++ b/Source/Runtime/entry_loop.cc
@@ -0,0 +1,230 @@
+#include "Runtime/entry_loop.h"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <zmq.hpp>
+
+#include "Entry/entry_instance.h"
+#include "Runtime/fleet_links.h"
+#include "Runtime/http_server.h"
+#include "Runtime/packet_socket.h"
+#include "Runtime/process_time.h"
+
+namespace lavendertack {
+namespace {
+
+// Time between two ticks of the instance.
+constexpr milliseconds kTickInterval{50};
+// Batches read before other sockets get their turn.
+constexpr int kBatchesPerTurn = 8;
+// Probes that are answered at a time.
+constexpr unsigned kReadinessThreads = 3;
+constexpr std::size_t kReadinessBodyBytes = 4096;
+
+entry_settings EntrySettings(const fleet_settings& from) {
+  return {.self = ControlName(from.self),
+          .data_centre = from.data_centre,
+          .seeds = ControlNames(from.seeds),
+          .seed = RandomNumber(),
+          .stop_within = from.stop_within};
+}
+
+endpoint ToEndpoint(const ipv4_endpoint& from) {
+  return {ToString(from.ip), from.port.value};
+}
+
+class entry_loop {
+ public:
+  entry_loop(const fleet_settings& settings, const fleet_adapter& adapter,
+             settings_file* file, process_signals* signals)
+      : settings_(settings),
+        adapter_(adapter),
+        file_(file),
+        signals_(signals),
+        log_(MakeEventLog(settings)),
+        entry_(EntrySettings(settings)),
+        links_(&context_, settings.peer_port),
+        packets_(adapter.packets.max_bytes) {}
+
+  std::optional<fleet_error> Start() {
+    const auto& addresses = std::get<entry_addresses>(settings_.role);
+    callers_port_ = addresses.packets.port;
+    if (auto reason = packets_.Open(addresses.packets)) {
+      return fleet_error{ToString(addresses.packets) + ": " + *reason};
+    }
+    readiness_ = std::make_unique<http_server>(
+        ToEndpoint(addresses.readiness),
+        http_limits{.body_bytes = kReadinessBodyBytes,
+                    .threads = kReadinessThreads},
+        [this](const http_request& request) {
+          if (!adapter_.calls.is_readiness_probe(request)) {
+            return adapter_.calls.answer_refused({404, "no such path"});
+          }
+          return adapter_.calls.answer_readiness(ready_);
+        });
+    log_.Write("started",
+               {{"role", "entry"},
+                {"packets", ToString(addresses.packets)},
+                {"data_centre", settings_.data_centre.value},
+                {"seeds", static_cast<std::int64_t>(settings_.seeds.size())}});
+    return std::nullopt;
+  }
+
+  void Run() {
+    next_tick_ = Now();
+    while (!entry_.IsOver(Now())) {
+      Poll();
+      bool more = true;
+      for (int i = 0; more && i < kBatchesPerTurn; ++i) {
+        more = packets_.Receive(
+            [this](std::span<std::uint8_t> packet) { Forward(packet); });
+      }
+      links_.Receive(Now(), [this](const link_id&, const auto& message) {
+        for (const auto& note : entry_.Receive(Now(), message)) {
+          LogNote(&log_, note);
+        }
+      });
+      if (Now() >= next_tick_) Tick();
+    }
+    log_.Write("stopped", {{"role", "entry"}});
+    log_.Tick(Now());
+  }
+
+ private:
+  void Poll() {
+    std::vector<zmq::pollitem_t> items = links_.PollItems();
+    items.push_back({nullptr, packets_.file(), ZMQ_POLLIN, 0});
+    const auto wait = std::max(
+        milliseconds(0), std::chrono::ceil<milliseconds>(next_tick_ - Now()));
+    try {
+      zmq::poll(items.data(), items.size(), wait);
+    } catch (const zmq::error_t& error) {
+      if (error.num() != EINTR) throw;
+    }
+  }
+
+  void Tick() {
+    const instant now = Now();
+    next_tick_ = now + kTickInterval;
+    if (signals_->stop > 0 && !stopping_) {
+      stopping_ = true;
+      ready_ = false;
+      entry_.Stop(now);
+      log_.Write("stopping", {{"signals", signals_->stop.load()}});
+    }
+    if (auto changed =
+            file_->ReadChanged(now, signals_->reload.exchange(false), &log_)) {
+      entry_.SetSeeds(now, ControlNames(changed->seeds));
+    }
+    for (const auto& note : entry_.Tick(now)) LogNote(&log_, note);
+    for (const follow_request& request : entry_.Requests(now)) {
+      links_.Send(now, request.to, request.message);
+    }
+    std::set<instance_name> controls;
+    for (const auto& [name, control] : entry_.follower().controls()) {
+      controls.insert(name);
+    }
+    links_.Tick(now, controls);
+    UpdateReadiness(now);
+    log_.Tick(now);
+  }
+
+  void UpdateReadiness(instant now) {
+    const bool ready = entry_.IsReady(now);
+    if (ready == ready_) return;
+    ready_ = ready;
+    const control_follower& follower = entry_.follower();
+    log_.Write("readiness",
+               {{"ready", ready},
+                {"entry", static_cast<std::int64_t>(follower.applied().value)},
+                {"targets",
+                 static_cast<std::int64_t>(follower.state().targets.size())}});
+  }
+
+  void Forward(std::span<std::uint8_t> bytes) {
+    const instant now = Now();
+    auto packet = adapter_.packets.decode(bytes);
+    if (!packet) {
+      ++malformed_;
+      return;
+    }
+    const forward_verdict verdict = entry_.Route(now, *packet);
+    if (const auto* forward = std::get_if<forward_to_target>(&verdict)) {
+      auto prefix = adapter_.packets.prefix(forward->target->report.id);
+      if (!prefix) return;
+      if (packet->opens) {
+        adapter_.packets.write_tag(bytes, forward->target->tag);
+      }
+      packets_.SendReceived(forward->target->report.address, *prefix, bytes);
+      if (packet->opens) {
+        Log(now, *packet, "flow_opened", forward->reason, forward->target);
+      }
+    } else if (const auto* reset = std::get_if<reset_caller>(&verdict)) {
+      packets_.Send({packet->flow.caller.ip, callers_port_},
+                    adapter_.packets.reset(*packet));
+      Log(now, *packet, "flow_reset", reset->reason, nullptr);
+    } else {
+      Log(now, *packet, "packet_dropped", std::get<drop_packet>(verdict).reason,
+          nullptr);
+    }
+  }
+
+  void Log(instant now, const flow_packet& packet, std::string_view event,
+           forward_reason reason, const known_target* target) {
+    if (!log_.HasFlowBudget(now)) {
+      log_.LeaveOut();
+      return;
+    }
+    const std::string_view target_id =
+        target == nullptr ? std::string_view() : target->report.id.value;
+    log_.WriteFlow(
+        now, event,
+        {{"caller", ToString(packet.flow.caller)},
+         {"route", ToString(packet.flow.route)},
+         {"sequence", static_cast<std::int64_t>(packet.sequence)},
+         {"copy", static_cast<std::int64_t>(packet.copy)},
+         {"tag", static_cast<std::int64_t>(packet.tag.value)},
+         {"reason", ToString(reason)},
+         {"target", target_id},
+         {"manifest",
+          static_cast<std::int64_t>(entry_.follower().version().value)},
+         {"entry",
+          static_cast<std::int64_t>(entry_.follower().applied().value)}});
+  }
+
+  const fleet_settings& settings_;
+  const fleet_adapter& adapter_;
+  settings_file* file_;
+  process_signals* signals_;
+  event_log log_;
+  zmq::context_t context_;
+  entry_instance entry_;
+  fleet_links links_;
+  packet_socket packets_;
+  port_number callers_port_;
+  std::atomic<bool> ready_{false};
+  std::unique_ptr<http_server> readiness_;
+  instant next_tick_;
+  bool stopping_ = false;
+  std::uint64_t malformed_ = 0;
+};
+
+}  // namespace
+
+std::variant<std::monostate, fleet_error> RunEntry(
+    const fleet_settings& settings, const fleet_adapter& adapter,
+    settings_file* file, process_signals* signals) {
+  try {
+    entry_loop loop(settings, adapter, file, signals);
+    if (auto error = loop.Start()) return *error;
+    loop.Run();
+  } catch (const std::exception& error) {
+    return fleet_error{error.what()};
+  }
+  return std::monostate{};
+}
+
+}  // namespace lavendertack
--- /dev/null
+++ b/Source/Runtime/fleet_links.cc
@@ -0,0 +1,137 @@
+#include "Runtime/fleet_links.h"
+
+#include <utility>
+
+namespace lavendertack {
+namespace {
+
+// Messages waiting in a socket; beyond that they are dropped.
+constexpr int kSocketQueue = 512;
+// Larger messages end their connection: a snapshot of 3,000 routes fits.
+constexpr std::int64_t kMaxMessageBytes = 4 << 20;
+// A connection that carried no answer for so long is opened anew. Requests
+// are answered several times in it.
+constexpr milliseconds kReopenAfter{1500};
+// Longest wait for a connection, and for the other side to take bytes.
+constexpr int kConnectTimeoutMs = 1000;
+constexpr int kUnsentTimeoutMs = 3000;
+constexpr int kReconnectMs = 100;
+constexpr int kMaxReconnectMs = 500;
+
+void SetUp(zmq::socket_t* socket) {
+  socket->set(zmq::sockopt::linger, 0);
+  socket->set(zmq::sockopt::rcvhwm, kSocketQueue);
+  socket->set(zmq::sockopt::sndhwm, kSocketQueue);
+  socket->set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
+  socket->set(zmq::sockopt::tcp_maxrt, kUnsentTimeoutMs);
+}
+
+}  // namespace
+
+fleet_links::fleet_links(zmq::context_t* context, port_number peer_port)
+    : context_(context), peer_port_(peer_port) {}
+
+void fleet_links::Listen(ipv4_address self) {
+  zmq::socket_t listener(*context_, zmq::socket_type::router);
+  SetUp(&listener);
+  listener.bind("tcp://" + ToString(ipv4_endpoint{self, peer_port_}));
+  listener_ = std::move(listener);
+}
+
+zmq::socket_t fleet_links::Connect(const instance_name& control) {
+  zmq::socket_t socket(*context_, zmq::socket_type::dealer);
+  SetUp(&socket);
+  socket.set(zmq::sockopt::immediate, true);
+  socket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
+  socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+  socket.set(zmq::sockopt::reconnect_ivl_max, kMaxReconnectMs);
+  socket.connect("tcp://" + control.value + ":" +
+                 std::to_string(peer_port_.value));
+  return socket;
+}
+
+void fleet_links::Send(instant now, const instance_name& control,
+                       const wire::fleet_message& message) {
+  auto it = connections_.find(control);
+  if (it == connections_.end()) {
+    if (!ParseIpv4(control.value)) return;
+    it = connections_.emplace(control, connection{Connect(control), now}).first;
+  }
+  const std::string bytes = message.SerializeAsString();
+  if (it->second.socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
+    sent_bytes_ += bytes.size();
+  }
+}
+
+void fleet_links::Reply(const link_id& to, const wire::fleet_message& message) {
+  if (!listener_ || to.value.empty()) return;
+  const std::string bytes = message.SerializeAsString();
+  if (!listener_->send(zmq::buffer(to.value),
+                       zmq::send_flags::sndmore | zmq::send_flags::dontwait)) {
+    return;
+  }
+  if (listener_->send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
+    sent_bytes_ += bytes.size();
+  }
+}
+
+std::optional<wire::fleet_message> fleet_links::Parse(
+    const zmq::message_t& body) {
+  received_bytes_ += body.size();
+  wire::fleet_message message;
+  if (message.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+    return message;
+  }
+  ++malformed_;
+  return std::nullopt;
+}
+
+void fleet_links::Receive(
+    instant now,
+    const std::function<void(const link_id&, wire::fleet_message)>& handle) {
+  zmq::message_t identity;
+  while (listener_ && listener_->recv(identity, zmq::recv_flags::dontwait)) {
+    zmq::message_t body;
+    if (!identity.more() || !listener_->recv(body)) continue;
+    while (body.more() && listener_->recv(body)) {
+    }
+    if (auto message = Parse(body)) {
+      handle({identity.to_string()}, *std::move(message));
+    }
+  }
+  std::vector<wire::fleet_message> messages;
+  for (auto& [name, link] : connections_) {
+    zmq::message_t body;
+    while (link.socket.recv(body, zmq::recv_flags::dontwait)) {
+      link.heard = now;
+      if (auto message = Parse(body)) messages.push_back(*std::move(message));
+    }
+  }
+  // Handling one may open connections.
+  for (wire::fleet_message& message : messages) handle({}, std::move(message));
+}
+
+void fleet_links::Tick(instant now, const std::set<instance_name>& controls) {
+  for (auto it = connections_.begin(); it != connections_.end();) {
+    if (!controls.contains(it->first)) {
+      it = connections_.erase(it);
+      continue;
+    }
+    if (now - it->second.heard > kReopenAfter) {
+      ++reopened_;
+      it->second = {Connect(it->first), now};
+    }
+    ++it;
+  }
+}
+
+std::vector<zmq::pollitem_t> fleet_links::PollItems() {
+  std::vector<zmq::pollitem_t> items;
+  if (listener_) items.push_back({*listener_, 0, ZMQ_POLLIN, 0});
+  for (auto& [name, link] : connections_) {
+    items.push_back({link.socket, 0, ZMQ_POLLIN, 0});
+  }
+  return items;
+}
+
+}  // namespace lavendertack
--- /dev/null
+++ b/Source/Runtime/fleet_process.cc
@@ -0,0 +1,96 @@
+#include "Runtime/fleet_process.h"
+
+#include <fstream>
+#include <iterator>
+
+namespace lavendertack {
+namespace {
+
+// Time between two looks at the settings file.
+constexpr milliseconds kSettingsInterval{1000};
+// Lines about single flows a second; a line costs about 10 us.
+constexpr std::uint32_t kFlowLinesPerSecond = 40;
+constexpr std::size_t kLogBufferBytes = 256 << 10;
+
+std::int64_t Signed(std::uint64_t number) {
+  return static_cast<std::int64_t>(number);
+}
+
+}  // namespace
+
+std::optional<std::string> settings_file::Load() const {
+  std::ifstream in(path_);
+  if (!in) return std::nullopt;
+  return std::string((std::istreambuf_iterator<char>(in)),
+                     std::istreambuf_iterator<char>());
+}
+
+std::variant<fleet_settings, std::vector<json_error>> settings_file::Read() {
+  auto text = Load();
+  if (!text) {
+    return std::vector<json_error>{{"", "can't read " + path_}};
+  }
+  last_text_ = *std::move(text);
+  return adapter_->parse_settings(last_text_);
+}
+
+std::optional<fleet_settings> settings_file::ReadChanged(instant now,
+                                                         bool now_please,
+                                                         event_log* log) {
+  if (!now_please && now - last_look_ < kSettingsInterval) return std::nullopt;
+  last_look_ = now;
+  auto text = Load();
+  if (!text || *text == last_text_) return std::nullopt;
+  last_text_ = *std::move(text);
+  auto parsed = adapter_->parse_settings(last_text_);
+  if (const auto* errors = std::get_if<std::vector<json_error>>(&parsed)) {
+    for (const json_error& error : *errors) {
+      log->Write("settings_refused",
+                 {{"path", error.path}, {"reason", error.reason}});
+    }
+    return std::nullopt;
+  }
+  log->Write("settings_reloaded", {{"file", path_}});
+  return std::get<fleet_settings>(std::move(parsed));
+}
+
+event_log MakeEventLog(const fleet_settings& settings) {
+  return event_log({.instance = settings.machine,
+                    .flow_lines_per_s = kFlowLinesPerSecond,
+                    .buffer_bytes = kLogBufferBytes},
+                   StandardOutput(), UnixMilliseconds);
+}
+
+instance_name ControlName(ipv4_address ip) { return {ToString(ip)}; }
+
+std::vector<instance_name> ControlNames(const std::vector<ipv4_address>& ips) {
+  std::vector<instance_name> names;
+  names.reserve(ips.size());
+  for (const ipv4_address ip : ips) names.push_back(ControlName(ip));
+  return names;
+}
+
+void LogNote(event_log* log, const follower_note& note) {
+  if (const auto* found = std::get_if<control_found>(&note)) {
+    log->Write("control_found", {{"control", found->name.value}});
+  } else if (const auto* lost = std::get_if<control_lost>(&note)) {
+    log->Write("control_lost", {{"control", lost->name.value},
+                                {"silent_ms", lost->silent.count()}});
+  } else if (const auto* state = std::get_if<state_followed>(&note)) {
+    log->Write("state_followed",
+               {{"control", state->from.value},
+                {"manifest", Signed(state->version.value)},
+                {"entry", Signed(state->index.value)},
+                {"route_changes", Signed(state->route_changes)},
+                {"whole", state->whole}});
+  } else if (const auto* target = std::get_if<target_change>(&note)) {
+    log->Write("target_changed",
+               {{"target", target->id.value},
+                {"phase", ToString(target->phase)},
+                {"control", target->source.value},
+                {"started_ms", Signed(target->age.started_ms)},
+                {"sequence", Signed(target->age.sequence)}});
+  }
+}
+
+}  // namespace lavendertack
--- /dev/null
+++ b/Source/Runtime/http_server.cc
@@ -0,0 +1,112 @@
+#include "Runtime/http_server.h"
+
+#include <cxxtools/eventloop.h>
+#include <cxxtools/http/reply.h>
+#include <cxxtools/http/request.h>
+#include <cxxtools/http/responder.h>
+#include <cxxtools/http/server.h>
+#include <cxxtools/http/service.h>
+#include <cxxtools/regex.h>
+
+#include <algorithm>
+#include <istream>
+#include <ostream>
+#include <utility>
+
+namespace lavendertack {
+namespace {
+
+// What the responders share.
+struct http_backend {
+  http_limits limits;
+  http_handler handler;
+};
+
+class queue_responder : public cxxtools::http::Responder {
+ public:
+  queue_responder(cxxtools::http::Service& service, const http_backend& backend)
+      : cxxtools::http::Responder(service), backend_(backend) {}
+
+  std::size_t readBody(std::istream& in) override {
+    if (body_bytes_ <= backend_.limits.body_bytes) {
+      const std::size_t read = cxxtools::http::Responder::readBody(in);
+      body_bytes_ += read;
+      return read;
+    }
+    // Exactly what is buffered: reading on would wait for the socket.
+    const auto available = std::max<std::streamsize>(0, in.rdbuf()->in_avail());
+    std::string dropped(static_cast<std::size_t>(available), '\0');
+    return static_cast<std::size_t>(
+        in.rdbuf()->sgetn(dropped.data(), available));
+  }
+
+  void reply(std::ostream& out, cxxtools::http::Request& request,
+             cxxtools::http::Reply& reply) override {
+    const http_answer answer = Answer(request);
+    reply.httpReturn(answer.status, answer.status < 400 ? "OK" : "Error");
+    reply.setHeader("Content-Type", answer.content_type.c_str());
+    if (!answer.location.empty()) {
+      reply.setHeader("Location", answer.location.c_str());
+    }
+    out << answer.body;
+  }
+
+ private:
+  http_answer Answer(const cxxtools::http::Request& from) const {
+    const char* authorization = from.getHeader("Authorization");
+    return backend_.handler(
+        {.method = from.method(),
+         .path = from.url(),
+         .body = from.bodyStr(),
+         .authorization = authorization == nullptr ? "" : authorization,
+         .too_large = body_bytes_ > backend_.limits.body_bytes});
+  }
+
+  const http_backend& backend_;
+  std::size_t body_bytes_ = 0;
+};
+
+class queue_service : public cxxtools::http::Service {
+ public:
+  explicit queue_service(http_backend backend) : backend_(std::move(backend)) {}
+
+ private:
+  cxxtools::http::Responder* createResponder(
+      const cxxtools::http::Request&) override {
+    return new queue_responder(*this, backend_);
+  }
+  void releaseResponder(cxxtools::http::Responder* responder) override {
+    delete responder;
+  }
+
+  http_backend backend_;
+};
+
+}  // namespace
+
+struct http_server::impl {
+  impl(const endpoint& address, http_backend backend)
+      : service(backend), server(loop, address.ip, address.port) {
+    if (backend.limits.threads > 0) {
+      server.minThreads(std::min(2U, backend.limits.threads));
+      server.maxThreads(backend.limits.threads);
+    }
+    server.addService(cxxtools::Regex("^/"), service);
+  }
+  cxxtools::EventLoop loop;
+  queue_service service;
+  cxxtools::http::Server server;
+};
+
+http_server::http_server(const endpoint& address, const http_limits& limits,
+                         http_handler handler)
+    : impl_(std::make_unique<impl>(address,
+                                   http_backend{limits, std::move(handler)})),
+      thread_([this] { impl_->loop.run(); }) {}
+
+http_server::~http_server() {
+  impl_->loop.exit();
+  thread_.join();
+}
+
+}  // namespace lavendertack
--- /dev/null
+++ b/Source/Runtime/http_server.h
@@ -0,0 +1,40 @@
+// An HTTP server on cxxtools::http, in threads of its own.
+#ifndef LAVENDERTACK_RUNTIME_HTTP_SERVER_H_
+#define LAVENDERTACK_RUNTIME_HTTP_SERVER_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <thread>
+
+#include "Config/settings.h"
+#include "Runtime/admin_queue.h"
+
+namespace lavendertack {
+
+// Called by the server's threads, several at a time.
+using http_handler = std::function<http_answer(http_request)>;
+
+struct http_limits {
+  std::size_t body_bytes = 0;  // A larger body is dropped, see too_large.
+  unsigned threads = 0;        // Requests that are handled at a time.
+};
+
+class http_server {
+ public:
+  // Throws std::exception when the address can't be listened on.
+  http_server(const endpoint& address, const http_limits& limits,
+              http_handler handler);
+  http_server(const http_server&) = delete;
+  http_server& operator=(const http_server&) = delete;
+  ~http_server();
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+  std::thread thread_;
+};
+
+}  // namespace lavendertack
+
+#endif  // LAVENDERTACK_RUNTIME_HTTP_SERVER_H_
--- a/Source/Runtime/instance_loop.cc
+++ b/Source/Runtime/instance_loop.cc
@@ -3,11 +3,9 @@
 #include <glog/logging.h>
 #include <google/protobuf/stubs/logging.h>
 #include <sys/eventfd.h>
-#include <sys/random.h>
 #include <unistd.h>
 
 #include <algorithm>
-#include <ctime>
 #include <filesystem>
 #include <map>
 #include <optional>
@@ -22,6 +20,7 @@
 #include "Runtime/decision_log.h"
 #include "Runtime/metrics.h"
 #include "Runtime/peer_links.h"
+#include "Runtime/process_time.h"
 #include "Runtime/target_links.h"
 #include "Storage/record_log.h"
 #include "Wire/codec.h"
@@ -34,19 +33,6 @@
 // Datagrams read before other sockets get their turn.
 constexpr std::size_t kDatagramsPerTurn = 256;
 
-// CLOCK_BOOTTIME goes on while the process or the machine is suspended.
-instant Now() {
-  timespec time{};
-  clock_gettime(CLOCK_BOOTTIME, &time);
-  return instant(seconds(time.tv_sec) + microseconds(time.tv_nsec / 1000));
-}
-
-std::uint64_t RandomNumber() {
-  std::uint64_t number = 0;
-  PCHECK(getrandom(&number, sizeof(number), 0) == sizeof(number));
-  return number;
-}
-
 // Milliseconds since the start of 2025: rises with every start.
 std::uint64_t NewIncarnation() {
   constexpr milliseconds kStartOf2025{1735689600000};
--- /dev/null
+++ b/Source/Targets/target_book.cc
@@ -0,0 +1,118 @@
+#include "Targets/target_book.h"
+
+namespace lavendertack {
+namespace {
+
+// Reports tell the time that is left at slightly different moments; a target
+// counts as cold anew only when its end moves by more.
+constexpr milliseconds kColdTolerance{250};
+
+bool HasEnded(target_phase phase) {
+  return phase == target_phase::kGone || phase == target_phase::kSilent;
+}
+
+}  // namespace
+
+const char* ToString(target_phase phase) {
+  switch (phase) {
+    case target_phase::kReady:
+      return "ready";
+    case target_phase::kDraining:
+      return "draining";
+    case target_phase::kGone:
+      return "gone";
+    case target_phase::kSilent:
+      return "silent";
+  }
+  return "unknown";
+}
+
+void target_book::Change(booked_target* target) {
+  by_revision_.erase(target->revision);
+  target->revision = ++revision_;
+  by_revision_[revision_] = target->report.id;
+}
+
+report_verdict target_book::Report(instant now, const target_report& report) {
+  auto [it, added] = targets_.try_emplace(report.id);
+  booked_target& target = it->second;
+  const bool is_gone = target.report.phase == target_phase::kGone;
+  if (!added &&
+      (report.age < target.report.age ||
+       (is_gone && report.age.started_ms == target.report.age.started_ms))) {
+    return report_verdict::kOutdated;
+  }
+  const instant cold_until =
+      report.cold_left.count() > 0 ? now + report.cold_left : instant{};
+  const bool turns_cold =
+      cold_until > now && cold_until > target.cold_until + kColdTolerance;
+  const bool restarted = report.age.started_ms != target.report.age.started_ms;
+  const bool changed = added || restarted || turns_cold ||
+                       report.phase != target.report.phase ||
+                       report.address != target.report.address ||
+                       report.service != target.report.service ||
+                       report.data_centre != target.report.data_centre ||
+                       report.slots != target.report.slots ||
+                       expected_fresh_.erase(report.id) > 0;
+  if (changed) target.cold_until = cold_until;
+  target.report = report;
+  target.heard = now;
+  if (!changed) return report_verdict::kUnchanged;
+  Change(&target);
+  return report_verdict::kChanged;
+}
+
+void target_book::End(instant now, const target_id& id,
+                      const std::optional<target_report>& last) {
+  auto it = targets_.find(id);
+  if (it == targets_.end()) {
+    if (!last) return;
+    it = targets_.emplace(id, booked_target{.report = *last}).first;
+  } else if (last && last->age > it->second.report.age) {
+    it->second.report = *last;
+  }
+  booked_target& target = it->second;
+  target.heard = now;
+  target.report.phase = target_phase::kGone;
+  Change(&target);
+}
+
+std::vector<target_id> target_book::Tick(instant now) {
+  std::vector<target_id> silent;
+  for (auto it = targets_.begin(); it != targets_.end();) {
+    booked_target& target = it->second;
+    const auto quiet = now - target.heard;
+    const bool ended = HasEnded(target.report.phase);
+    if (ended && quiet >= settings_.forget_after) {
+      by_revision_.erase(target.revision);
+      expected_fresh_.erase(it->first);
+      it = targets_.erase(it);
+      continue;
+    }
+    if (!ended && quiet >= settings_.silent_after) {
+      target.report.phase = target_phase::kSilent;
+      Change(&target);
+      silent.push_back(it->first);
+    }
+    ++it;
+  }
+  return silent;
+}
+
+void target_book::ExpectFresh(const data_centre_name& data_centre) {
+  for (const auto& [id, target] : targets_) {
+    if (target.report.data_centre == data_centre) expected_fresh_.insert(id);
+  }
+}
+
+std::vector<const booked_target*> target_book::Since(
+    std::uint64_t revision) const {
+  std::vector<const booked_target*> changes;
+  for (auto it = by_revision_.upper_bound(revision); it != by_revision_.end();
+       ++it) {
+    changes.push_back(&targets_.at(it->second));
+  }
+  return changes;
+}
+
+}  // namespace lavendertack
--- /dev/null
+++ b/Source/Targets/target_view.cc
@@ -0,0 +1,154 @@
+#include "Targets/target_view.h"
+
+#include <algorithm>
+
+#include "Common/hash.h"
+
+namespace lavendertack {
+
+target_tag TagOf(const target_id& id) {
+  const std::uint64_t hash = StableHash(id.value);
+  const auto folded = static_cast<std::uint32_t>(hash ^ (hash >> 32));
+  return {folded == 0 ? 1 : folded};
+}
+
+void target_view::Index(known_target* target) {
+  by_tag_.emplace(target->tag, target);
+  auto& list = by_service_[target->report.service];
+  const auto at = std::lower_bound(
+      list.begin(), list.end(), target,
+      [](const auto* a, const auto* b) { return a->report.id < b->report.id; });
+  list.insert(at, target);
+}
+
+void target_view::Unindex(const known_target* target) {
+  auto [first, last] = by_tag_.equal_range(target->tag);
+  for (auto it = first; it != last; ++it) {
+    if (it->second != target) continue;
+    by_tag_.erase(it);
+    break;
+  }
+  auto list = by_service_.find(target->report.service);
+  if (list == by_service_.end()) return;
+  std::erase(list->second, target);
+  if (list->second.empty()) by_service_.erase(list);
+}
+
+// Of two targets at one address, the one that started later is there.
+void target_view::Replace(instant now, known_target* target) {
+  auto [it, added] =
+      at_address_.try_emplace(target->report.address, target->report.id);
+  if (added || it->second == target->report.id) return;
+  auto other = targets_.find(it->second);
+  if (other == targets_.end()) {
+    it->second = target->report.id;
+    return;
+  }
+  known_target* held = other->second.get();
+  const bool is_later =
+      target->report.age.started_ms > held->report.age.started_ms;
+  known_target* loser = is_later ? held : target;
+  if (is_later) it->second = target->report.id;
+  if (!loser->replaced) loser->changed = now;
+  loser->replaced = true;
+}
+
+std::optional<target_change> target_view::Apply(instant now,
+                                                const report_source& source,
+                                                const target_report& report) {
+  auto [it, added] = targets_.try_emplace(report.id);
+  if (added) {
+    it->second = std::make_unique<known_target>();
+    known_target& target = *it->second;
+    target.report = report;
+    target.tag = TagOf(report.id);
+    target.cold_until = now + report.cold_left;
+    target.changed = now;
+    Index(&target);
+    Replace(now, &target);
+    if (report.phase == target_phase::kSilent) {
+      return std::nullopt;
+    }
+    if (report.phase != target_phase::kGone) target.heard_by.insert(source);
+    return target_change{report.id, report.phase, source, report.age};
+  }
+  known_target& target = *it->second;
+  const bool is_outdated = report.age < target.report.age;
+  const bool was_heard = !target.heard_by.empty();
+  if (report.phase == target_phase::kSilent) {
+    target.heard_by.erase(source);
+    if (!was_heard || !target.heard_by.empty()) return std::nullopt;
+    target.changed = now;
+    return target_change{report.id, report.phase, source, report.age};
+  }
+  const bool same_start = report.age.started_ms == target.report.age.started_ms;
+  if (target.report.phase == target_phase::kGone && same_start) {
+    return std::nullopt;
+  }
+  if (is_outdated) return std::nullopt;
+  const bool changes =
+      report.phase != target.report.phase || !same_start || !was_heard;
+  if (!same_start) target.replaced = false;
+  Unindex(&target);
+  target.report = report;
+  target.cold_until = now + report.cold_left;
+  Index(&target);
+  if (report.phase == target_phase::kGone) {
+    target.heard_by.clear();
+  } else {
+    target.heard_by.insert(source);
+  }
+  Replace(now, &target);
+  if (!changes) return std::nullopt;
+  target.changed = now;
+  return target_change{report.id, report.phase, source, report.age};
+}
+
+void target_view::DropSource(const report_source& source) {
+  for (auto& [id, target] : targets_) target->heard_by.erase(source);
+}
+
+void target_view::Forget(instant now, milliseconds after) {
+  for (auto it = targets_.begin(); it != targets_.end();) {
+    const known_target& target = *it->second;
+    const bool is_needed = !target.IsOver() && !target.heard_by.empty();
+    if (is_needed || now - target.changed < after) {
+      ++it;
+      continue;
+    }
+    auto at = at_address_.find(target.report.address);
+    if (at != at_address_.end() && at->second == it->first) {
+      at_address_.erase(at);
+    }
+    Unindex(&target);
+    it = targets_.erase(it);
+  }
+}
+
+const known_target* target_view::FindByTag(target_tag tag) const {
+  const known_target* best = nullptr;
+  auto [first, last] = by_tag_.equal_range(tag);
+  for (auto it = first; it != last; ++it) {
+    const known_target* other = it->second;
+    if (best == nullptr || best->IsOver() > other->IsOver() ||
+        (best->IsOver() == other->IsOver() &&
+         best->report.age.started_ms < other->report.age.started_ms)) {
+      best = other;
+    }
+  }
+  return best;
+}
+
+const known_target* target_view::Find(const target_id& id) const {
+  auto it = targets_.find(id);
+  return it == targets_.end() ? nullptr : it->second.get();
+}
+
+const std::vector<const known_target*>& target_view::OfService(
+    const service_name& service) const {
+  static const std::vector<const known_target*> kNone;
+  auto it = by_service_.find(service);
+  return it == by_service_.end() ? kNone : it->second;
+}
+
+}  // namespace lavendertack
