Forwarding: new flows stay in their callers' data centre

Cause: in a zone cut, open flows to hosts beyond it are lost. Entry instances tell their demand, control instances the sums, and a data centre's callers use its own targets up to 1.3 times the mean load of a slot.

--- a/Source/Control/control_instance.cc
+++ b/Source/Control/control_instance.cc
@@ -184,7 +184,7 @@
   for (follower_note& note : follower_.Tick(now_)) {
     effects_.emplace_back(std::move(note));
   }
-  for (follow_request& request : follower_.Requests(now_)) {
+  for (follow_request& request : follower_.Requests(now_, {})) {
     effects_.emplace_back(
         send_to_control{request.to, std::move(request.message)});
     // Tells one that doesn't vote how far the log is.
--- a/Source/Control/follower_feed.cc
+++ b/Source/Control/follower_feed.cc
@@ -1,6 +1,7 @@
 #include "Control/follower_feed.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "Following/target_codec.h"
 
@@ -14,6 +15,8 @@
 // Least time between two updates that a follower didn't ask for: a series of
 // manifests reaches it as a few differences.
 constexpr milliseconds kPushInterval{50};
+// Part by which a demand must have changed to be told anew.
+constexpr double kDemandChange = 0.15;
 
 }  // namespace
 
@@ -64,6 +67,32 @@
   return made;
 }
 
+std::map<std::pair<service_name, data_centre_name>, double>
+follower_feed::SumDemand() const {
+  std::map<std::pair<service_name, data_centre_name>, double> sums;
+  for (const auto& [link, one] : followers_) {
+    for (const auto& [service, rate] : one.demand) {
+      sums[{service, one.data_centre}] += rate;
+    }
+  }
+  return sums;
+}
+
+void follower_feed::TellDemand(follower* told, wire::update* update) const {
+  auto sums = SumDemand();
+  // One that nobody asks for any more.
+  for (const auto& [key, rate] : told->told_demand) sums.try_emplace(key, 0);
+  for (const auto& [key, rate] : sums) {
+    double& last = told->told_demand[key];
+    if (std::abs(rate - last) <= kDemandChange * std::max(rate, last)) continue;
+    last = rate;
+    auto* row = update->add_demand();
+    row->set_service(key.first.value);
+    row->set_data_centre(key.second.value);
+    row->set_requests_per_s(static_cast<float>(rate));
+  }
+}
+
 feed_update follower_feed::Follow(instant now, const link_id& from,
                                   const wire::follow& request,
                                   const feed_content& content) {
@@ -75,11 +104,18 @@
   const std::uint64_t holds_targets =
       request.target_epoch() == content.target_epoch ? request.target_revision()
                                                      : 0;
+  told.data_centre = {request.data_centre()};
+  told.demand.clear();
+  for (const wire::demand_record& row : request.demand()) {
+    told.demand[{row.service()}] = row.requests_per_s();
+  }
   if (added || now - told.told >= kResendAfter) {
     told.told_state = holds_state;
     told.told_targets = std::min(holds_targets, content.targets.revision());
   }
-  return Make(now, from, &told, content);
+  feed_update made = Make(now, from, &told, content);
+  if (!told.control) TellDemand(&told, made.message.mutable_update());
+  return made;
 }
 
 std::vector<feed_update> follower_feed::Push(instant now,
--- a/Source/Control/follower_feed.h
+++ b/Source/Control/follower_feed.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Common/instant.h"
@@ -50,12 +51,19 @@
  private:
   struct follower {
     bool control = false;
+    data_centre_name data_centre;
+    std::map<service_name, double> demand;  // Requests a second.
+    // The sums that it was told.
+    std::map<std::pair<service_name, data_centre_name>, double> told_demand;
     log_index told_state;
     std::uint64_t told_targets = 0;
     instant heard;
     instant told;  // When something new was last sent.
   };
 
+  // Sums over all followers, by service and data centre.
+  std::map<std::pair<service_name, data_centre_name>, double> SumDemand() const;
+  void TellDemand(follower* told, wire::update* update) const;
   feed_update Make(instant now, const link_id& to, follower* told,
                    const feed_content& content);
 
--- a/Source/Entry/entry_instance.cc
+++ b/Source/Entry/entry_instance.cc
@@ -22,7 +22,7 @@
                  .is_control = false,
                  .seeds = settings_.seeds,
                  .follow_interval = kFollowInterval}),
-      router_(&follower_.state(), settings_.seed) {}
+      router_(&follower_.state(), settings_.data_centre, settings_.seed) {}
 
 forward_verdict entry_instance::Route(instant now, const flow_packet& packet) {
   last_packet_ = now;
@@ -35,6 +35,10 @@
   return follower_.Apply(now, {message.from()}, message.update());
 }
 
+std::vector<follow_request> entry_instance::Requests(instant now) {
+  return follower_.Requests(now, router_.demand().Rates(now));
+}
+
 std::vector<follower_note> entry_instance::Tick(instant now) {
   router_.Tick(now);
   return follower_.Tick(now);
--- a/Source/Entry/entry_instance.h
+++ b/Source/Entry/entry_instance.h
@@ -28,9 +28,7 @@
   forward_verdict Route(instant now, const flow_packet& packet);
   std::vector<follower_note> Receive(instant now,
                                      const wire::fleet_message& message);
-  std::vector<follow_request> Requests(instant now) {
-    return follower_.Requests(now);
-  }
+  std::vector<follow_request> Requests(instant now);
   std::vector<follower_note> Tick(instant now);
 
   // The settings name other control instances.
--- a/Source/Following/control_follower.cc
+++ b/Source/Following/control_follower.cc
@@ -19,6 +19,8 @@
 constexpr milliseconds kForgetTarget{70'000};
 // Waits so long for the other control instances after the first one told all.
 constexpr milliseconds kSyncOthers{1000};
+// Requests a second that aren't worth telling.
+constexpr double kLeastDemand = 0.05;
 // Most control instances that are followed.
 constexpr std::size_t kMaxControls = 16;
 
@@ -65,6 +67,9 @@
   }
   ApplyState(now, from, update, &notes);
   ApplyTargets(now, from, update, &notes);
+  for (const wire::demand_record& row : update.demand()) {
+    state_.demand[{row.service()}][{row.data_centre()}] = row.requests_per_s();
+  }
   return notes;
 }
 
@@ -143,7 +148,8 @@
   if (!first_sync_) first_sync_ = now;
 }
 
-std::vector<follow_request> control_follower::Requests(instant now) {
+std::vector<follow_request> control_follower::Requests(
+    instant now, const std::map<service_name, requests_per_s>& demand) {
   std::vector<follow_request> requests;
   for (auto& [name, control] : controls_) {
     if (control.asked && now - *control.asked < settings_.follow_interval) {
@@ -159,6 +165,12 @@
     follow->set_applied(applied_.value);
     follow->set_target_epoch(control.target_epoch);
     follow->set_target_revision(control.target_revision);
+    for (const auto& [service, rate] : demand) {
+      if (rate < kLeastDemand) continue;
+      auto* row = follow->add_demand();
+      row->set_service(service.value);
+      row->set_requests_per_s(static_cast<float>(rate));
+    }
     requests.push_back({name, std::move(message)});
   }
   return requests;
--- a/Source/Following/control_follower.h
+++ b/Source/Following/control_follower.h
@@ -77,8 +77,10 @@
   void SetSeeds(instant now, const std::vector<instance_name>& seeds);
   std::vector<follower_note> Apply(instant now, const instance_name& from,
                                    const wire::update& update);
-  // Requests that are due, and what is believed no more.
-  std::vector<follow_request> Requests(instant now);
+  // Requests that are due. `demand` is what callers ask of this instance.
+  std::vector<follow_request> Requests(
+      instant now, const std::map<service_name, requests_per_s>& demand);
+  // What is believed no more.
   std::vector<follower_note> Tick(instant now);
 
   const routing_state& state() const { return state_; }
--- /dev/null
+++ b/Source/Forwarding/demand.cc
@@ -0,0 +1,80 @@
+#include "Forwarding/demand.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lavendertack {
+namespace {
+
+// Requests of so long ago count 1/e.
+constexpr milliseconds kWindow{3000};
+
+double Decay(microseconds since) {
+  return std::exp(-static_cast<double>(since.count()) /
+                  static_cast<double>(microseconds(kWindow).count()));
+}
+
+}  // namespace
+
+void demand_meter::Count(instant now, const service_name& service) {
+  meter& one = meters_[service];
+  one.recent = one.recent * Decay(now - one.updated) + 1;
+  one.updated = now;
+}
+
+requests_per_s demand_meter::Rate(instant now,
+                                  const service_name& service) const {
+  auto it = meters_.find(service);
+  if (it == meters_.end()) return 0;
+  const double window_s = std::chrono::duration<double>(kWindow).count();
+  return it->second.recent * Decay(now - it->second.updated) / window_s;
+}
+
+std::map<service_name, requests_per_s> demand_meter::Rates(instant now) const {
+  std::map<service_name, requests_per_s> rates;
+  for (const auto& [service, one] : meters_) {
+    rates[service] = Rate(now, service);
+  }
+  return rates;
+}
+
+std::map<data_centre_name, double> SplitDemand(const data_centre_name& own,
+                                               const load_by_data_centre& loads,
+                                               double slack) {
+  double slots = 0;
+  double demand = 0;
+  for (const auto& [name, load] : loads) {
+    slots += load.slots;
+    demand += load.demand;
+  }
+  std::map<data_centre_name, double> weights;
+  if (slots <= 0) return weights;
+  auto it = loads.find(own);
+  const data_centre_load mine =
+      it == loads.end() ? data_centre_load{} : it->second;
+  const double bound_per_slot = slack * demand / slots;
+  double local = mine.slots > 0 ? 1.0 : 0.0;
+  if (mine.demand > 0 && mine.slots > 0) {
+    local = std::min(1.0, bound_per_slot * mine.slots / mine.demand);
+  }
+  if (local > 0) weights[own] = local;
+  if (local >= 1) return weights;
+  double spare = 0;
+  for (const auto& [name, load] : loads) {
+    if (name == own) continue;
+    spare += std::max(0.0, bound_per_slot * load.slots - load.demand);
+  }
+  double remote_slots = slots - mine.slots;
+  if (remote_slots <= 0) return {{own, 1.0}};
+  for (const auto& [name, load] : loads) {
+    if (name == own || load.slots <= 0) continue;
+    const double free =
+        std::max(0.0, bound_per_slot * load.slots - load.demand);
+    // Without any measured demand, by slots alone.
+    const double part = spare > 0 ? free / spare : load.slots / remote_slots;
+    if (part > 0) weights[name] = (1 - local) * part;
+  }
+  return weights;
+}
+
+}  // namespace lavendertack
--- a/Source/Forwarding/flow_router.cc
+++ b/Source/Forwarding/flow_router.cc
@@ -15,6 +15,9 @@
 // A target that said it ends may still be answering what has reached it; only
 // then are its callers told that their connections are over.
 constexpr milliseconds kEndingTime{1000};
+// Load of a slot in the own data centre, over the mean of all, up to which new
+// flows stay there.
+constexpr double kLocalSlack = 1.3;
 
 }  // namespace
 
@@ -42,8 +45,12 @@
   return "unknown";
 }
 
-flow_router::flow_router(const routing_state* state, std::uint64_t seed)
-    : state_(state), random_(seed), attempts_(kMaxAttempts) {
+flow_router::flow_router(const routing_state* state, data_centre_name own,
+                         std::uint64_t seed)
+    : state_(state),
+      own_(std::move(own)),
+      random_(seed),
+      attempts_(kMaxAttempts) {
   choice_ = [this](instant now,
                    const std::vector<const known_target*>& candidates) {
     return LeastLoaded(now, candidates);
@@ -100,7 +107,10 @@
   if (target->IsOver() && now - target->changed > kEndingTime) {
     return reset_caller{forward_reason::kTargetOver};
   }
-  if (packet.data_bytes > 0) load_.Carried(now, packet.tag);
+  if (packet.data_bytes > 0) {
+    load_.Carried(now, packet.tag);
+    demand_.Count(now, target->report.service);
+  }
   return forward_to_target{target, forward_reason::kFollows};
 }
 
@@ -130,9 +140,32 @@
   }
   if (candidates_.empty()) candidates_ = std::move(suspects);
   if (candidates_.empty()) return nullptr;
+  KeepDataCentre(service);
   return choice_(now, candidates_);
 }
 
+// Leaves the candidates of one data centre, drawn by the split of the demand.
+void flow_router::KeepDataCentre(const service_name& service) {
+  load_by_data_centre loads;
+  for (const known_target* target : candidates_) {
+    loads[target->report.data_centre].slots +=
+        std::max<std::uint32_t>(1, target->report.slots);
+  }
+  if (auto it = state_->demand.find(service); it != state_->demand.end()) {
+    for (const auto& [name, rate] : it->second) loads[name].demand = rate;
+  }
+  const auto weights = SplitDemand(own_, loads, kLocalSlack);
+  double at = std::uniform_real_distribution<double>(0, 1)(random_);
+  for (const auto& [name, weight] : weights) {
+    at -= weight;
+    if (at > 0) continue;
+    std::erase_if(candidates_, [&](const known_target* target) {
+      return target->report.data_centre != name;
+    });
+    return;
+  }
+}
+
 // The less loaded of two random ones: instances that see the same don't all
 // pick the same one.
 const known_target* flow_router::LeastLoaded(
--- a/Source/Forwarding/flow_router.h
+++ b/Source/Forwarding/flow_router.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "Common/instant.h"
+#include "Forwarding/demand.h"
 #include "Forwarding/open_attempts.h"
 #include "Forwarding/packet.h"
 #include "Forwarding/target_load.h"
@@ -26,6 +27,9 @@
   std::unordered_map<ipv4_endpoint, route> routes;
   std::set<data_centre_name> closed;  // New flows keep out of these.
   target_view targets;
+  // Of all entry instances, by service.
+  std::unordered_map<service_name, std::map<data_centre_name, requests_per_s>>
+      demand;
 };
 
 // Which of the candidates gets a new flow; there is at least one.
@@ -35,7 +39,9 @@
 class flow_router {
  public:
   // `state` must outlive the router.
-  flow_router(const routing_state* state, std::uint64_t seed);
+  // `own` is the data centre whose callers come here.
+  flow_router(const routing_state* state, data_centre_name own,
+              std::uint64_t seed);
 
   forward_verdict Route(instant now, const flow_packet& packet);
   void Tick(instant now);
@@ -43,6 +49,7 @@
   // The baseline in tests: another choice than the one by load.
   void set_choice(choose_target choice) { choice_ = std::move(choice); }
   const target_load& load() const { return load_; }
+  const demand_meter& demand() const { return demand_; }
 
  private:
   forward_verdict Open(instant now, const flow_packet& packet);
@@ -50,11 +57,14 @@
   const service_name& PickService(const route& wanted);
   const known_target* PickTarget(instant now, const service_name& service,
                                  target_tag unanswered);
+  void KeepDataCentre(const service_name& service);
   const known_target* LeastLoaded(
       instant now, const std::vector<const known_target*>& candidates);
 
   const routing_state* state_;
+  data_centre_name own_;
   std::mt19937_64 random_;
+  demand_meter demand_;
   target_load load_;
   open_attempts attempts_;
   choose_target choice_;
