Control: restarts with the targets it heard; a lost control's word runs out slowly

Ruled out: the mod hash (packets name their targets), the agreement (majority 0.2 s after). Now the targets heard are saved and claimed anew at the start, silence of a restored target counts after 10 s, and when most targets of a service are silent they stay candidates.

--- a/Source/Control/control_instance.cc
+++ b/Source/Control/control_instance.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Following/target_codec.h"
+
 namespace lavendertack {
 namespace {
 
@@ -27,6 +29,11 @@
 // After a data centre is taken back, targets may need so long, beyond their
 // cold start and one report, to be told everywhere.
 constexpr milliseconds kReopenMargin{500};
+// After a restart, targets have so long to report again: their calls failed
+// meanwhile, and they wait longer after each.
+constexpr milliseconds kRestoredGrace{10'000};
+// Least time between two savings of the targets heard.
+constexpr milliseconds kSaveInterval{3000};
 
 }  // namespace
 
@@ -73,6 +80,16 @@
   agreement_.Restore(record);
 }
 
+void control_instance::Restore(instant now,
+                               const wire::target_snapshot& saved) {
+  for (const wire::target_record& record : saved.targets()) {
+    if (auto report = DecodeTarget(record)) {
+      book_.Restore(*report, now + kRestoredGrace);
+    }
+  }
+  saved_revision_ = book_.revision();
+}
+
 std::vector<control_effect> control_instance::Reduce(
     instant now, const control_event& event) {
   now_ = now;
@@ -203,6 +220,20 @@
     PushNews(true);
   }
   PlanVoterChange();
+  SaveTargets();
+}
+
+void control_instance::SaveTargets() {
+  if (book_.revision() == saved_revision_) return;
+  if (last_save_ && now_ - *last_save_ < kSaveInterval) return;
+  last_save_ = now_;
+  saved_revision_ = book_.revision();
+  save_targets save;
+  for (const auto& [id, target] : book_.targets()) {
+    if (target.report.phase == target_phase::kSilent) continue;
+    *save.targets.add_targets() = EncodeTarget(now_, target);
+  }
+  effects_.emplace_back(std::move(save));
 }
 
 void control_instance::Handle(const seeds_changed& event) {
--- a/Source/Control/control_instance.h
+++ b/Source/Control/control_instance.h
@@ -108,6 +108,11 @@
   manifest_version version;
   std::set<data_centre_name> closed;
 };
+// The targets that this instance hears, for its next start. Losing it costs
+// only time, so it needn't be synced before anything else.
+struct save_targets {
+  wire::target_snapshot targets;
+};
 // Whether this instance hears a majority of the voters.
 struct majority_changed {
   bool heard;
@@ -116,7 +121,7 @@
     std::variant<persist_record, rewrite_records, founding_stuck,
                  answer_operator, send_to_control, send_to_follower,
                  report_noted, voters_planned, state_published,
-                 majority_changed, follower_note>;
+                 majority_changed, save_targets, follower_note>;
 
 class control_instance {
  public:
@@ -124,6 +129,8 @@
 
   // Takes back one record of the log file, in the order of writing.
   void Restore(const wire::stored_record& record);
+  // Takes back the targets that an earlier process has saved.
+  void Restore(instant now, const wire::target_snapshot& saved);
   std::vector<control_effect> Reduce(instant now, const control_event& event);
 
   const published_state& published() const { return published_; }
@@ -154,6 +161,7 @@
   void NotePublished();
   void PlanVoterChange();
   void PushNews(bool to_all);
+  void SaveTargets();
   feed_content Content() const;
   std::vector<control_peer> Peers() const;
   std::size_t WantedVoters() const;
@@ -171,6 +179,8 @@
   std::uint64_t target_epoch_;
   std::optional<instant> started_;
   std::optional<instant> last_plan_;
+  std::optional<instant> last_save_;
+  std::uint64_t saved_revision_ = 0;
   log_index noted_;
   bool was_current_ = false;
   // For the event that is being reduced.
--- a/Source/Following/control_follower.cc
+++ b/Source/Following/control_follower.cc
@@ -10,9 +10,12 @@
 // A control instance that is silent for so long isn't believed to be there:
 // three requests without an answer.
 constexpr int kLostAfterRequests = 3;
-// Targets of a lost control instance report to another one after about two of
-// their reports; only then its word on them is dropped.
-constexpr milliseconds kClaimsAfterLoss{5000};
+// A lost control instance, or one that starts anew, is believed for so long on
+// the targets that it heard: they report elsewhere only after growing waits.
+constexpr milliseconds kClaimsAfterLoss{10'000};
+// Silence after which a control instance counts as lost in the log and its
+// word begins to run out.
+constexpr milliseconds kLostAfter{5000};
 // A control instance that nobody names for so long is forgotten.
 constexpr milliseconds kForgetControl{30'000};
 // Targets that are over are remembered as long as a connection may last.
@@ -130,7 +133,9 @@
   if (control.target_epoch != update.target_epoch()) {
     if (update.targets_from() != 0) return;  // It will send all.
     // The control instance has started anew; what it said before is lost to it.
-    if (control.target_epoch != 0) state_.targets.DropSource(from);
+    if (control.target_epoch != 0) {
+      state_.targets.DropSource(from, now + kClaimsAfterLoss);
+    }
     control.target_epoch = update.target_epoch();
     control.target_revision = 0;
   }
@@ -190,13 +195,13 @@
     if (control.heard && !Hears(now, name) && !control.claims_dropped) {
       const auto silent = now - *control.heard;
       // Alone, the last that was known is better than nothing.
-      if (hears_any && silent > kClaimsAfterLoss) {
+      if (hears_any && silent > kLostAfter) {
         control.claims_dropped = true;
         // Whatever it says when it's back, it says from the start.
         control.target_epoch = 0;
         control.target_revision = 0;
         control.synced = false;
-        state_.targets.DropSource(name);
+        state_.targets.DropSource(name, now + kClaimsAfterLoss);
         notes.emplace_back(control_lost{
             name, std::chrono::duration_cast<milliseconds>(silent)});
       }
@@ -204,7 +209,7 @@
     const instant last =
         std::max(control.listed, control.heard.value_or(instant{}));
     if (!is_seed && hears_any && now - last > kForgetControl) {
-      state_.targets.DropSource(name);
+      state_.targets.DropSource(name, now);
       it = controls_.erase(it);
     } else {
       ++it;
--- a/Source/Forwarding/demand.h
+++ b/Source/Forwarding/demand.h
@@ -34,7 +34,7 @@
 
 // One data centre's part in a service.
 struct data_centre_load {
-  double slots = 0;  // Of targets that can take new flows.
+  double slots = 0;           // Of targets that can take new flows.
   requests_per_s demand = 0;  // Of its callers.
 };
 using load_by_data_centre = std::map<data_centre_name, data_centre_load>;
@@ -43,9 +43,9 @@
 // add up to 1. Its own targets take all up to `slack` times the mean load of a
 // slot; the rest goes to the data centres that stay below it. Empty when there
 // are no slots at all.
-std::map<data_centre_name, double> SplitDemand(
-    const data_centre_name& own, const load_by_data_centre& loads,
-    double slack);
+std::map<data_centre_name, double> SplitDemand(const data_centre_name& own,
+                                               const load_by_data_centre& loads,
+                                               double slack);
 
 }  // namespace lavendertack
 
--- a/Source/Forwarding/flow_router.cc
+++ b/Source/Forwarding/flow_router.cc
@@ -129,16 +129,25 @@
 const known_target* flow_router::PickTarget(instant now,
                                             const service_name& service,
                                             target_tag unanswered) {
-  std::vector<const known_target*> suspects;
   candidates_.clear();
+  silent_.clear();
+  suspects_.clear();
   for (const known_target* target : state_->targets.OfService(service)) {
     if (!target->IsOpen(now)) continue;
     if (state_->closed.contains(target->report.data_centre)) continue;
     const bool avoid =
         target->tag == unanswered || load_.IsSuspect(now, target->tag);
-    (avoid ? suspects : candidates_).push_back(target);
+    if (avoid) {
+      suspects_.push_back(target);
+    } else {
+      (target->IsHeard(now) ? candidates_ : silent_).push_back(target);
+    }
+  }
+  // When most are silent, it's rather their reports that are lost.
+  if (candidates_.size() < silent_.size() || candidates_.empty()) {
+    candidates_.insert(candidates_.end(), silent_.begin(), silent_.end());
   }
-  if (candidates_.empty()) candidates_ = std::move(suspects);
+  if (candidates_.empty()) candidates_ = suspects_;
   if (candidates_.empty()) return nullptr;
   KeepDataCentre(service);
   return choice_(now, candidates_);
--- a/Source/Forwarding/flow_router.h
+++ b/Source/Forwarding/flow_router.h
@@ -68,7 +68,10 @@
   target_load load_;
   open_attempts attempts_;
   choose_target choice_;
-  std::vector<const known_target*> candidates_;  // Reused; empty between calls.
+  // Reused by PickTarget.
+  std::vector<const known_target*> candidates_;
+  std::vector<const known_target*> silent_;
+  std::vector<const known_target*> suspects_;
 };
 
 }  // namespace lavendertack
--- a/Source/Runtime/control_loop.cc
+++ b/Source/Runtime/control_loop.cc
@@ -113,6 +113,7 @@
   };
 
   std::string RecordsPath() const { return role_.data_folder + "/control.log"; }
+  std::string TargetsPath() const { return role_.data_folder + "/targets.log"; }
 
   std::optional<fleet_error> OpenRecords() {
     std::error_code failed;
@@ -135,9 +136,12 @@
       }
       control_->Restore(record);
     }
+    RestoreTargets();
     log_.Write(
         "started",
         {{"role", "control"},
+         {"targets",
+          static_cast<std::int64_t>(control_->targets().targets().size())},
          {"calls", ToString(role_.calls)},
          {"data_centre", settings_.data_centre.value},
          {"founds_fleet", role_.founds_fleet},
@@ -151,6 +155,20 @@
     return std::nullopt;
   }
 
+  // Without it the targets only take longer to be known again.
+  void RestoreTargets() {
+    auto opened = saved_targets_.Open(TargetsPath());
+    if (const auto* error = std::get_if<storage_error>(&opened)) {
+      log_.Write("targets_not_restored",
+                 {{"file", error->path}, {"reason", error->reason}});
+      return;
+    }
+    for (const std::string& bytes : std::get<opened_log>(opened).records) {
+      wire::target_snapshot saved;
+      if (saved.ParseFromString(bytes)) control_->Restore(Now(), saved);
+    }
+  }
+
   void Poll() {
     std::vector<zmq::pollitem_t> items = links_.PollItems();
     items.push_back({nullptr, wake_file_, ZMQ_POLLIN, 0});
@@ -315,6 +333,17 @@
                 {"manifest", static_cast<std::int64_t>(effect.version.value)},
                 {"closed", closed}});
   }
+  void Carry(const save_targets& effect) {
+    if (storage_failed_) return;
+    auto written = saved_targets_.Rewrite({effect.targets.SerializeAsString()});
+    const auto* error = std::get_if<storage_error>(&written);
+    if (error == nullptr) return;
+    log_.Write("targets_not_saved",
+               {{"file", error->path}, {"reason", error->reason}});
+    // A log that failed takes nothing until it's opened anew.
+    saved_targets_ = record_log();
+    saved_targets_.Open(TargetsPath());
+  }
   void Carry(const majority_changed& effect) {
     log_.Write("majority", {{"heard", effect.heard}});
   }
@@ -353,6 +382,7 @@
   zmq::context_t context_;
   fleet_links links_;
   record_log records_;
+  record_log saved_targets_;
   std::unique_ptr<control_instance> control_;
   std::unique_ptr<http_server> server_;
   std::map<operator_call, waiting_call> waiting_;
--- a/Source/Targets/target_book.cc
+++ b/Source/Targets/target_book.cc
@@ -62,6 +62,14 @@
   return report_verdict::kChanged;
 }
 
+void target_book::Restore(const target_report& report, instant silent_from) {
+  auto [it, added] = targets_.try_emplace(report.id);
+  if (!added) return;
+  it->second.report = report;
+  it->second.heard = silent_from - settings_.silent_after;
+  Change(&it->second);
+}
+
 void target_book::End(instant now, const target_id& id,
                       const std::optional<target_report>& last) {
   auto it = targets_.find(id);
--- a/Source/Targets/target_book.h
+++ b/Source/Targets/target_book.h
@@ -44,6 +44,9 @@
   explicit target_book(target_book_settings settings) : settings_(settings) {}
 
   report_verdict Report(instant now, const target_report& report);
+  // Takes back what an earlier process of this instance heard. Such a target
+  // has until `silent_from` to report before it counts as silent.
+  void Restore(const target_report& report, instant silent_from);
   // The target ends. `last` is the newest report known from elsewhere, for a
   // target that never reported here. Nothing is known of others.
   void End(instant now, const target_id& id,
--- a/Source/Targets/target_view.cc
+++ b/Source/Targets/target_view.cc
@@ -12,6 +12,11 @@
   return {folded == 0 ? 1 : folded};
 }
 
+bool known_target::IsHeard(instant now) const {
+  return std::any_of(heard_by.begin(), heard_by.end(),
+                     [now](const auto& claim) { return claim.second > now; });
+}
+
 void target_view::Index(known_target* target) {
   by_tag_.emplace(target->tag, target);
   auto& list = by_service_[target->report.service];
@@ -69,15 +74,16 @@
     if (report.phase == target_phase::kSilent) {
       return std::nullopt;
     }
-    if (report.phase != target_phase::kGone) target.heard_by.insert(source);
+    if (report.phase != target_phase::kGone)
+      target.heard_by[source] = instant::max();
     return target_change{report.id, report.phase, source, report.age};
   }
   known_target& target = *it->second;
   const bool is_outdated = report.age < target.report.age;
-  const bool was_heard = !target.heard_by.empty();
+  const bool was_heard = target.IsHeard(now);
   if (report.phase == target_phase::kSilent) {
     target.heard_by.erase(source);
-    if (!was_heard || !target.heard_by.empty()) return std::nullopt;
+    if (!was_heard || target.IsHeard(now)) return std::nullopt;
     target.changed = now;
     return target_change{report.id, report.phase, source, report.age};
   }
@@ -96,7 +102,7 @@
   if (report.phase == target_phase::kGone) {
     target.heard_by.clear();
   } else {
-    target.heard_by.insert(source);
+    target.heard_by[source] = instant::max();
   }
   Replace(now, &target);
   if (!changes) return std::nullopt;
@@ -104,14 +110,17 @@
   return target_change{report.id, report.phase, source, report.age};
 }
 
-void target_view::DropSource(const report_source& source) {
-  for (auto& [id, target] : targets_) target->heard_by.erase(source);
+void target_view::DropSource(const report_source& source, instant until) {
+  for (auto& [id, target] : targets_) {
+    auto it = target->heard_by.find(source);
+    if (it != target->heard_by.end()) it->second = std::min(it->second, until);
+  }
 }
 
 void target_view::Forget(instant now, milliseconds after) {
   for (auto it = targets_.begin(); it != targets_.end();) {
     const known_target& target = *it->second;
-    const bool is_needed = !target.IsOver() && !target.heard_by.empty();
+    const bool is_needed = !target.IsOver() && target.IsHeard(now);
     if (is_needed || now - target.changed < after) {
       ++it;
       continue;
--- a/Source/Targets/target_view.h
+++ b/Source/Targets/target_view.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -28,7 +27,9 @@
   target_tag tag;
   instant cold_until;  // By the clock of this process.
   instant changed;     // When the phase or the start last changed.
-  std::set<report_source> heard_by;
+  // Control instances that hear it, each with the time until which its word
+  // counts: without end while it can be asked.
+  std::map<report_source, instant> heard_by;
   // Another target reports from its address since; set once and for all.
   bool replaced = false;
 
@@ -39,8 +40,9 @@
   // New flows may go to it, so far as its own word counts.
   bool IsOpen(instant now) const {
     return !replaced && report.phase == target_phase::kReady &&
-           !heard_by.empty() && cold_until <= now;
+           cold_until <= now;
   }
+  bool IsHeard(instant now) const;
 };
 
 // A change of what is believed of a target, for the log.
@@ -56,8 +58,9 @@
   // Takes in what `source` says. The change, when it made one.
   std::optional<target_change> Apply(instant now, const report_source& source,
                                      const target_report& report);
-  // The source's word counts no more, as after it was lost or started anew.
-  void DropSource(const report_source& source);
+  // The source was lost or started anew: its word counts until `until`, unless
+  // it's given again.
+  void DropSource(const report_source& source, instant until);
   // Forgets targets that were over, or that nobody hears, for long.
   void Forget(instant now, milliseconds after);
 
