Control: control instances that aren't seeds are learned from their requests

Cause: only seeds knew each other. A core machine beyond the three seeds never got the log, was no candidate for a lost voter, and entry instances didn't follow it: targets that reported to it alone were unknown. On grown sites the five voters that two lost disks ask for never came together, and the first manifest waited 20 s. Adding a voter no longer waits for the time after which one is replaced.

--- a/Source/Control/control_instance.cc
+++ b/Source/Control/control_instance.cc
@@ -185,6 +185,7 @@
   if (message.has_agreement()) {
     Agree(agreement_received{from, message.agreement()});
   } else if (message.has_follow()) {
+    if (message.follow().control()) follower_.Learn(now_, from);
     auto update = feed_.Follow(now_, event.link, message.follow(), Content());
     effects_.emplace_back(
         send_to_follower{update.to, std::move(update.message)});
@@ -323,14 +324,17 @@
 void control_instance::PlanVoterChange() {
   if (last_plan_ && now_ - *last_plan_ < kPlanInterval) return;
   if (!agreement_.IsVoting() || !IsCurrent(now_)) return;
-  // Right after the start, the others may just not have been heard yet.
   const auto& voters = published_.voters();
   const auto rank = std::distance(voters.begin(), voters.find(settings_.self));
-  if (now_ - *started_ < kReplaceVoterAfter + rank * kPlanStagger) return;
+  const milliseconds stagger = rank * kPlanStagger;
+  if (now_ - *started_ < stagger) return;
   last_plan_ = now_;
+  // Right after the start, the others may just not have been heard yet.
+  const bool may_replace = now_ - *started_ >= kReplaceVoterAfter + stagger;
   auto change =
       PlanVoters({.wanted = WantedVoters(),
-                  .replace_after = kReplaceVoterAfter + rank * kPlanStagger,
+                  .replace_after = may_replace ? kReplaceVoterAfter + stagger
+                                               : milliseconds::max(),
                   .candidate_within = kCandidateWithin},
                  voters, Peers());
   if (!change) return;
--- a/Source/Control/voter_plan.cc
+++ b/Source/Control/voter_plan.cc
@@ -50,8 +50,10 @@
     const bool is_heard =
         peer != nullptr && peer->silent <= settings.candidate_within;
     const bool has_other_disk = is_heard && peer->storage != storage;
+    const bool may_replace = settings.replace_after != milliseconds::max();
     const bool is_lost =
-        peer == nullptr || peer->silent >= settings.replace_after;
+        may_replace &&
+        (peer == nullptr || peer->silent >= settings.replace_after);
     if (!has_other_disk && !is_lost) continue;
     const auto* candidate = BestCandidate(settings, voters, name, peers);
     if (candidate == nullptr || candidate->storage == storage) continue;
--- a/Source/Following/control_follower.cc
+++ b/Source/Following/control_follower.cc
@@ -45,6 +45,12 @@
   }
 }
 
+void control_follower::Learn(instant now, const instance_name& control) {
+  if (control == settings_.self) return;
+  if (controls_.size() >= kMaxControls && !controls_.contains(control)) return;
+  controls_[control].listed = now;
+}
+
 bool control_follower::Hears(instant now, const instance_name& name) const {
   auto it = controls_.find(name);
   return it != controls_.end() && it->second.heard &&
@@ -66,11 +72,7 @@
   control.claims_dropped = false;
   control.data_centre = {update.data_centre()};
   control.current = update.current();
-  for (const std::string& name : update.controls()) {
-    if (name == settings_.self.value) continue;
-    if (controls_.size() >= kMaxControls && !controls_.contains({name})) break;
-    controls_[{name}].listed = now;
-  }
+  for (const std::string& name : update.controls()) Learn(now, {name});
   ApplyState(now, from, update, &notes);
   ApplyTargets(now, from, update, &notes);
   for (const wire::demand_record& row : update.demand()) {
