--- a/Source/Targets/target_view.cc
+++ b/Source/Targets/target_view.cc
@@ -61,6 +61,9 @@
 std::optional<target_change> target_view::Apply(instant now,
                                                 const report_source& source,
                                                 const target_report& report) {
+  const bool is_silence = report.phase == target_phase::kSilent;
+  // Silence of a target that nobody has told of says nothing.
+  if (is_silence && !targets_.contains(report.id)) return std::nullopt;
   auto [it, added] = targets_.try_emplace(report.id);
   if (added) {
     it->second = std::make_unique<known_target>();
@@ -71,9 +74,6 @@
     target.changed = now;
     Index(&target);
     Replace(now, &target);
-    if (report.phase == target_phase::kSilent) {
-      return std::nullopt;
-    }
     if (report.phase != target_phase::kGone)
       target.heard_by[source] = instant::max();
     return target_change{report.id, report.phase, source, report.age};
@@ -81,7 +81,7 @@
   known_target& target = *it->second;
   const bool is_outdated = report.age < target.report.age;
   const bool was_heard = target.IsHeard(now);
-  if (report.phase == target_phase::kSilent) {
+  if (is_silence) {
     target.heard_by.erase(source);
     if (!was_heard || target.IsHeard(now)) return std::nullopt;
     target.changed = now;
--- /dev/null
+++ b/Source/UnitTests/Forwarding/demand_test.cc
@@ -0,0 +1,96 @@
+#include "Forwarding/demand.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <numeric>
+#include <random>
+
+#include "UnitTests/Support/random_run.h"
+
+namespace lavendertack {
+namespace {
+
+constexpr double kSlack = 1.3;
+
+double Sum(const std::map<data_centre_name, double>& weights) {
+  return std::accumulate(
+      weights.begin(), weights.end(), 0.0,
+      [](double sum, const auto& each) { return sum + each.second; });
+}
+
+TEST_CASE("callers are served in their data centre while it has room") {
+  load_by_data_centre loads{{{"a"}, {8, 100}}, {{"b"}, {8, 100}}};
+
+  SECTION("all of them at equal load") {
+    REQUIRE(SplitDemand({"a"}, loads, kSlack).at({"a"}) == 1.0);
+  }
+  SECTION("only up to the bound where callers crowd") {
+    loads[{"a"}].demand = 300;
+    const auto weights = SplitDemand({"a"}, loads, kSlack);
+    REQUIRE(weights.at({"a"}) == Approx(kSlack * 25 * 8 / 300));
+    REQUIRE(weights.at({"b"}) == Approx(1 - kSlack * 25 * 8 / 300));
+    REQUIRE(SplitDemand({"b"}, loads, kSlack).at({"b"}) == 1.0);
+  }
+  SECTION("none where nothing can take them") {
+    loads[{"a"}].slots = 0;
+    const auto weights = SplitDemand({"a"}, loads, kSlack);
+    REQUIRE_FALSE(weights.contains({"a"}));
+    REQUIRE(weights.at({"b"}) == Approx(1.0));
+  }
+  SECTION("before any demand is known") {
+    loads = {{{"a"}, {8, 0}}, {{"b"}, {8, 0}}};
+    REQUIRE(SplitDemand({"a"}, loads, kSlack).at({"a"}) == 1.0);
+    REQUIRE(Sum(SplitDemand({"c"}, loads, kSlack)) == Approx(1.0));
+  }
+  SECTION("nowhere when there is no slot at all") {
+    REQUIRE(SplitDemand({"a"}, {{{"a"}, {0, 50}}}, kSlack).empty());
+  }
+}
+
+TEST_CASE("the split fills no data centre beyond the bound") {
+  testing::ForEachSeed([](std::uint64_t seed) {
+    std::mt19937_64 random(seed);
+    for (int round = 0; round < 200; ++round) {
+      load_by_data_centre loads;
+      double slots = 0;
+      double demand = 0;
+      for (std::size_t i = 0; i < 2 + random() % 10; ++i) {
+        data_centre_load& load = loads[{"dc-" + std::to_string(i)}];
+        load.slots = static_cast<double>(random() % 20);
+        load.demand = static_cast<double>(random() % 500);
+        slots += load.slots;
+        demand += load.demand;
+      }
+      if (slots == 0) continue;
+      std::map<data_centre_name, double> arriving;
+      for (const auto& [name, load] : loads) {
+        const auto weights = SplitDemand(name, loads, kSlack);
+        REQUIRE(Sum(weights) == Approx(1.0));
+        for (const auto& [to, weight] : weights) {
+          REQUIRE(weight >= 0);
+          REQUIRE(loads.at(to).slots > 0);
+          arriving[to] += weight * load.demand;
+        }
+      }
+      for (const auto& [name, rate] : arriving) {
+        INFO("seed " << seed << " round " << round << " at " << name);
+        REQUIRE(rate <= Approx(kSlack * demand / slots * loads.at(name).slots));
+      }
+    }
+  });
+}
+
+TEST_CASE("demand is measured over the last seconds") {
+  demand_meter meter;
+  instant now{seconds(100)};
+  for (int i = 0; i < 2000; ++i) {
+    meter.Count(now, {"catalogue"});
+    now += milliseconds(10);
+  }
+  REQUIRE(meter.Rate(now, {"catalogue"}) == Approx(100).epsilon(0.05));
+  REQUIRE(meter.Rate(now + seconds(30), {"catalogue"}) < 0.1);
+  REQUIRE(meter.Rate(now, {"guides"}) == 0);
+}
+
+}  // namespace
+}  // namespace lavendertack
