--- a/Source/Control/follower_feed.cc
+++ b/Source/Control/follower_feed.cc
@@ -36,13 +36,14 @@
   const published_state& published = content.published;
   const log_index changed_at = published.changed_at();
   update->set_state_to(changed_at.value);
-  if (!told->control && changed_at > told->told_state) {
+  if (!told->control && changed_at.value > told->state.told()) {
     update->set_has_state(true);
-    update->set_state_from(told->told_state.value);
+    const log_index from{told->state.told()};
+    update->set_state_from(from.value);
     update->set_manifest_version(published.published().version.value);
     update->set_cold_start_ms(static_cast<std::uint32_t>(
         LongestColdStart(published.published()).count()));
-    if (auto changes = published.RoutesSince(told->told_state)) {
+    if (auto changes = published.RoutesSince(from)) {
       for (const route_change& change : *changes) {
         *update->add_routes() = EncodeRoute(change);
       }
@@ -52,18 +53,21 @@
         *update->add_routes() = EncodeRoute({at, &route});
       }
     }
-    told->told_state = changed_at;
-    told->told = now;
+    told->state.Sent(now, changed_at.value);
+    told->pushed = now;
   }
+  const std::uint64_t revision = content.targets.revision();
   update->set_target_epoch(content.target_epoch);
-  update->set_targets_from(told->told_targets);
-  update->set_targets_to(content.targets.revision());
+  update->set_targets_from(told->targets.told());
+  update->set_targets_to(revision);
   for (const booked_target* target :
-       content.targets.Since(told->told_targets)) {
+       content.targets.Since(told->targets.told())) {
     *update->add_targets() = EncodeTarget(now, *target);
-    told->told = now;
   }
-  told->told_targets = content.targets.revision();
+  if (revision > told->targets.told()) {
+    told->targets.Sent(now, revision);
+    told->pushed = now;
+  }
   return made;
 }
 
@@ -100,18 +104,23 @@
   follower& told = it->second;
   told.heard = now;
   told.control = request.control();
-  const log_index holds_state{request.applied()};
+  // Of another start of this instance the follower holds nothing.
   const std::uint64_t holds_targets =
-      request.target_epoch() == content.target_epoch ? request.target_revision()
-                                                     : 0;
+      request.target_epoch() == content.target_epoch
+          ? std::min<std::uint64_t>(request.target_revision(),
+                                    content.targets.revision())
+          : 0;
   told.data_centre = {request.data_centre()};
   told.demand.clear();
   for (const wire::demand_record& row : request.demand()) {
     told.demand[{row.service()}] = row.requests_per_s();
   }
-  if (added || now - told.told >= kResendAfter) {
-    told.told_state = holds_state;
-    told.told_targets = std::min(holds_targets, content.targets.revision());
+  if (added) {
+    told.state.Restart(request.applied());
+    told.targets.Restart(holds_targets);
+  } else {
+    told.state.Confirm(now, request.applied(), kResendAfter);
+    told.targets.Confirm(now, holds_targets, kResendAfter);
   }
   feed_update made = Make(now, from, &told, content);
   if (!told.control) TellDemand(&told, made.message.mutable_update());
@@ -129,9 +138,10 @@
       continue;
     }
     const bool has_news =
-        told.told_targets < content.targets.revision() ||
-        (!told.control && told.told_state < content.published.changed_at());
-    if (to_all || (has_news && now - told.told >= kPushInterval)) {
+        told.targets.told() < content.targets.revision() ||
+        (!told.control &&
+         told.state.told() < content.published.changed_at().value);
+    if (to_all || (has_news && now - told.pushed >= kPushInterval)) {
       updates.push_back(Make(now, it->first, &told, content));
     }
     ++it;
--- a/Source/Control/follower_feed.h
+++ b/Source/Control/follower_feed.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "Common/instant.h"
+#include "Control/sent_cursor.h"
 #include "Manifest/published_state.h"
 #include "Targets/target_book.h"
 #include "Wire/fleet.pb.h"
@@ -55,10 +56,10 @@
     std::map<service_name, double> demand;  // Requests a second.
     // The sums that it was told.
     std::map<std::pair<service_name, data_centre_name>, double> told_demand;
-    log_index told_state;
-    std::uint64_t told_targets = 0;
+    sent_cursor state;    // By the entry of the log.
+    sent_cursor targets;  // By the revision of the book.
     instant heard;
-    instant told;  // When something new was last sent.
+    instant pushed;  // When something new was last sent.
   };
 
   // Sums over all followers, by service and data centre.
--- /dev/null
+++ b/Source/UnitTests/Platform/packet_format_test.cc
@@ -0,0 +1,112 @@
+#include "platform/packet_format.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+#include <sstream>
+#include <vector>
+
+namespace lavendertack::platform {
+namespace {
+
+std::vector<std::uint8_t> Bytes(const std::string& hex) {
+  std::vector<std::uint8_t> bytes;
+  std::istringstream in(hex);
+  for (unsigned byte = 0; in >> std::hex >> byte;) {
+    bytes.push_back(static_cast<std::uint8_t>(byte));
+  }
+  return bytes;
+}
+
+// The examples of the platform's page on its protocol.
+const std::string kOpening =
+    "a1 b2 c3 d5 00 00 10 00 00 00 01 bb 64 40 00 07 9c 41 c6 12 00 01 "
+    "00 00 00 00 11 22 33 44 00 00 00 00";
+const std::string kReset =
+    "00 00 00 00 00 00 20 00 00 00 9c 41 c6 12 00 01 01 bb 64 40 00 07 "
+    "00 00 00 00 00 00 00 00 00 00 00 00";
+
+TEST_CASE("a caller opens a connection") {
+  auto bytes = Bytes(kOpening);
+  const auto packet = DecodePacket(bytes);
+  REQUIRE(packet);
+  REQUIRE(ToString(packet->flow.caller) == "100.64.0.7:40001");
+  REQUIRE(ToString(packet->flow.route) == "198.18.0.1:443");
+  REQUIRE(packet->opens);
+  REQUIRE(packet->sequence == 0x11223344);
+  REQUIRE(packet->copy == 0);
+
+  SECTION("and repeats its packet") {
+    bytes[33] = 2;
+    REQUIRE(DecodePacket(bytes)->copy == 2);
+  }
+  SECTION("which is given a target's tag, and nothing else is changed") {
+    WriteTag(bytes, {0xdeadbeef});
+    REQUIRE(DecodePacket(bytes)->tag.value == 0xdeadbeef);
+    auto expected = Bytes(kOpening);
+    expected[22] = 0xde;
+    expected[23] = 0xad;
+    expected[24] = 0xbe;
+    expected[25] = 0xef;
+    REQUIRE(bytes == expected);
+  }
+  SECTION("and is refused") {
+    const reset_bytes reset = EncodeReset(*packet);
+    REQUIRE(std::vector<std::uint8_t>(reset.begin(), reset.end()) ==
+            Bytes(kReset));
+  }
+  SECTION("on an open connection a reset bears the number expected next") {
+    bytes[6] = 128;
+    bytes[30] = 0x01;
+    bytes[33] = 0x09;
+    const reset_bytes reset = EncodeReset(*DecodePacket(bytes));
+    REQUIRE(reset[26] == 0x01);
+    REQUIRE(reset[29] == 0x09);
+  }
+}
+
+TEST_CASE("what is no whole packet isn't taken") {
+  auto bytes = Bytes(kOpening);
+  SECTION("cut short") { bytes.pop_back(); }
+  SECTION("with more than its length says") { bytes.push_back(0); }
+  SECTION("with less than its length says") { bytes[5] = 1; }
+  SECTION("longer than any packet") {
+    bytes.resize(kMaxPacketBytes + 1);
+    bytes[4] = (kMaxDataBytes + 1) >> 8;
+    bytes[5] = (kMaxDataBytes + 1) & 0xff;
+  }
+  SECTION("empty") { bytes.clear(); }
+  REQUIRE_FALSE(DecodePacket(bytes));
+}
+
+TEST_CASE("any bytes are a packet or not, without harm") {
+  rc::prop("", [](const std::vector<std::uint8_t>& bytes) {
+    const auto packet = DecodePacket(bytes);
+    if (packet) {
+      RC_ASSERT(packet->data_bytes == bytes.size() - kHeaderBytes);
+      RC_ASSERT(EncodeReset(*packet).size() == kHeaderBytes);
+    }
+  });
+  rc::prop("with the length of a packet", [] {
+    auto bytes = *rc::gen::container<std::vector<std::uint8_t>>(
+        kHeaderBytes, rc::gen::arbitrary<std::uint8_t>());
+    bytes[4] = 0;
+    bytes[5] = 0;
+    const auto packet = DecodePacket(bytes);
+    RC_ASSERT(packet.has_value());
+    WriteTag(bytes, packet->tag);
+    RC_ASSERT(DecodePacket(bytes)->tag == packet->tag);
+  });
+}
+
+TEST_CASE("a target is addressed by the number in its id") {
+  const auto bytes = AddressTo({"i-7f3a91c2"});
+  REQUIRE(bytes);
+  REQUIRE(*bytes == addressed_bytes{0, 0, 0, 0, 0x7f, 0x3a, 0x91, 0xc2});
+  REQUIRE_FALSE(AddressTo({"i-"}));
+  REQUIRE_FALSE(AddressTo({"i-0123456789abcdef0"}));
+  REQUIRE((*AddressTo({"i-FFFFFFFFFFFFFFFF"}))[0] == 0xff);
+}
+
+}  // namespace
+}  // namespace lavendertack::platform
