--- a/Source/EventLog/event_log.cc
+++ b/Source/EventLog/event_log.cc
@@ -57,7 +57,7 @@
   Flush();
 }
 
-void event_log::Put(std::string line) {
+void event_log::Put(const std::string& line) {
   if (buffer_.size() + line.size() > settings_.buffer_bytes) {
     LeaveOut();
     return;
--- a/Source/EventLog/event_log.h
+++ b/Source/EventLog/event_log.h
@@ -59,7 +59,7 @@
   }
 
  private:
-  void Put(std::string line);
+  void Put(const std::string& line);
   void Flush();
 
   event_log_settings settings_;
--- a/Source/Forwarding/flow_router.cc
+++ b/Source/Forwarding/flow_router.cc
@@ -168,8 +168,8 @@
   for (const auto& [name, weight] : weights) {
     at -= weight;
     if (at > 0) continue;
-    std::erase_if(candidates_, [&](const known_target* target) {
-      return target->report.data_centre != name;
+    std::erase_if(candidates_, [&chosen = name](const known_target* target) {
+      return target->report.data_centre != chosen;
     });
     return;
   }
--- a/Source/Runtime/http_server.cc
+++ b/Source/Runtime/http_server.cc
@@ -85,7 +85,7 @@
 }  // namespace
 
 struct http_server::impl {
-  impl(const endpoint& address, http_backend backend)
+  impl(const endpoint& address, const http_backend& backend)
       : service(backend), server(loop, address.ip, address.port) {
     if (backend.limits.threads > 0) {
       server.minThreads(std::min(2U, backend.limits.threads));
--- a/Source/Targets/target_report.h
+++ b/Source/Targets/target_report.h
@@ -20,6 +20,7 @@
 struct report_age {
   std::uint64_t started_ms = 0;
   std::uint64_t sequence = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy misreads operator<=>.
   friend auto operator<=>(const report_age&, const report_age&) = default;
 };
 
--- a/Source/Targets/target_view.cc
+++ b/Source/Targets/target_view.cc
@@ -74,8 +74,9 @@
     target.changed = now;
     Index(&target);
     Replace(now, &target);
-    if (report.phase != target_phase::kGone)
+    if (report.phase != target_phase::kGone) {
       target.heard_by[source] = instant::max();
+    }
     return target_change{report.id, report.phase, source, report.age};
   }
   known_target& target = *it->second;
@@ -155,9 +156,9 @@
 
 const std::vector<const known_target*>& target_view::OfService(
     const service_name& service) const {
-  static const std::vector<const known_target*> kNone;
+  static const std::vector<const known_target*> none;
   auto it = by_service_.find(service);
-  return it == by_service_.end() ? kNone : it->second;
+  return it == by_service_.end() ? none : it->second;
 }
 
 }  // namespace lavendertack
