Traffic: a suspended owner waits for its targets' word; leaving rule mended

The check now passes over targets that are dead; it stays as strict for all others. Found beside it: an owner frozen for less than 3 s placed callers' waiting packets on what it knew before the freeze; now targets are open again only once they have spoken (test seen failing).

--- a/Source/Traffic/service_shard.cc
+++ b/Source/Traffic/service_shard.cc
@@ -12,6 +12,8 @@
 constexpr milliseconds kComeBack{250};
 // Pause between two looks for silent targets.
 constexpr milliseconds kSilenceCheck{250};
+// Ticks come every 10 ms; after such a pause the process was suspended.
+constexpr milliseconds kSuspendedAfter{500};
 
 const run_request* RequestIn(const caller_packet& packet) {
   return std::get_if<run_request>(&packet.body);
@@ -46,6 +48,7 @@
   now_ = now;
   view_ = &view;
   if (!started_) started_ = now;
+  NoteSuspension();
   effects_.clear();
   if (const auto* packet = std::get_if<shard_packet>(&event)) {
     HandlePacket(*packet);
@@ -587,6 +590,7 @@
     target->ramp.ClaimedCold(now_);
   }
   target->lost = false;
+  target->unconfirmed = false;
   target->connection = event.connection;
   target->state = what.state;
   target->slots = std::max(what.slots, 1U);
@@ -846,6 +850,18 @@
   ServeQueue(target);
 }
 
+void service_shard::NoteSuspension() {
+  const bool was_suspended =
+      last_event_ && now_ - *last_event_ > kSuspendedAfter;
+  last_event_ = now_;
+  if (!was_suspended) return;
+  Note("suspended, placements wait for the targets");
+  for (auto& [name, target] : targets_.all()) {
+    target.unconfirmed = true;
+    targets_.Reindex(&target);
+  }
+}
+
 void service_shard::CheckSilence() {
   next_silence_check_ = now_ + kSilenceCheck;
   std::vector<target_record*> gone;
--- a/Source/Traffic/service_shard.h
+++ b/Source/Traffic/service_shard.h
@@ -134,6 +134,7 @@
   void HandleDeadline(const request_key& key);
   void HandleOverdue(attempt_id id);
   void CheckSilence();
+  void NoteSuspension();
   void EraseClosedFlows();
   void FlushWhenOut();
 
@@ -165,6 +166,7 @@
   timer_queue<attempt_id> overdue_;
   timer_queue<target_serial> wakeups_;
   instant next_silence_check_;
+  std::optional<instant> last_event_;
   bool was_out_ = false;
   std::vector<flow_id> closed_;  // Flows to look at when the event is done.
   shard_counters counters_;
--- a/Source/Traffic/target_table.h
+++ b/Source/Traffic/target_table.h
@@ -34,6 +34,8 @@
   instant last_heard;
   target_serial serial;
   bool lost = false;  // Silent; it may still run what it was sent.
+  // Not heard since this instance was suspended: what it said may have changed.
+  bool unconfirmed = false;
   target_ramp ramp;
   class_queue queue;
   std::optional<instant> wakeup;  // When the queue is looked at again.
@@ -45,7 +47,8 @@
   bool usable() const { return !lost && state != target_state::kLeaving; }
   // It may get new flows.
   bool open() const {
-    return !lost && state == target_state::kReady && flows < connections;
+    return !lost && !unconfirmed && state == target_state::kReady &&
+           flows < connections;
   }
 };
 
--- a/Source/UnitTests/Node/world_callers.cc
+++ b/Source/UnitTests/Node/world_callers.cc
@@ -150,6 +150,8 @@
     f.opened = queue_.Now();
     for (const target& t : targets_) {
       if (t.boot != f.token->boot || t.state == target_state::kReady) continue;
+      // One that crashed before it could say so gets no work either.
+      if (!t.alive) continue;
       if (queue_.Now() > t.state_since + seconds(1)) {
         witness_.Broken(rule::kLeavingTarget, queue_.Now(),
                         "a new flow was placed at " + t.name.value);
--- a/Source/UnitTests/Traffic/service_shard_test.cc
+++ b/Source/UnitTests/Traffic/service_shard_test.cc
@@ -53,6 +53,28 @@
   }
 }
 
+// An instance that was frozen reads what callers sent meanwhile before it reads
+// that the target leaves.
+TEST_CASE("a suspended owner places nothing on what it knew before") {
+  shard_driver d;
+  d.Announce("a");
+  d.Pass(milliseconds(100), {"a"});
+  d.now += milliseconds(2500);
+  d.Open(1);
+  RequireAnswer(d, answer_kind::kNotRun, refusal_reason::kNoTarget);
+
+  SECTION("until the target has spoken again") {
+    d.Announce("a");
+    d.Open(2);
+    RequireAnswer(d, answer_kind::kOpened);
+  }
+  SECTION("and never when it says that it leaves") {
+    d.Announce("a", target_state::kLeaving);
+    d.Open(2);
+    RequireAnswer(d, answer_kind::kNotRun, refusal_reason::kNoTarget);
+  }
+}
+
 TEST_CASE("urgent work goes first") {
   shard_driver d;
   d.Announce("a");
