--- a/Source/Traffic/service_shard.cc
+++ b/Source/Traffic/service_shard.cc
@@ -14,6 +14,11 @@
 constexpr milliseconds kSilenceCheck{250};
 // Ticks come every 10 ms; after such a pause the process was suspended.
 constexpr milliseconds kSuspendedAfter{500};
+// Targets announce themselves several times a second: those that join later
+// than this after the owner's start weren't there before it.
+constexpr milliseconds kTakeOverTime{1500};
+// Longest time that requests of an earlier owner count.
+constexpr milliseconds kInheritedFor{5000};
 
 const run_request* RequestIn(const caller_packet& packet) {
   return std::get_if<run_request>(&packet.body);
@@ -375,7 +380,8 @@
 std::uint32_t service_shard::UsableSlots(const target_record& target,
                                          const class_name& service_class,
                                          class_price price) const {
-  const std::uint32_t slots = target.ramp.Concurrency();
+  const std::uint32_t bearable = target.ramp.Concurrency();
+  const std::uint32_t slots = bearable - std::min(bearable, target.inherited);
   if (slots < 2) return slots;
   return load_.MustLeaveSlot(now_, service_class, price) ? slots - 1 : slots;
 }
@@ -573,7 +579,8 @@
     EraseTarget(target);
     target = nullptr;
   }
-  if (target == nullptr) {
+  const bool joined = target == nullptr;
+  if (joined) {
     const auto baseline = targets_.WarmBaseline();
     target = targets_.Add(what.target);
     if (target == nullptr) return;
@@ -597,6 +604,7 @@
   target->connections = what.connections;
   target->last_heard = now_;
   target->ramp.SetSlots(what.slots);
+  CountInherited(target, what.reported_busy, joined);
   targets_.Reindex(target);
   if (what.state == target_state::kLeaving) {
     MoveQueue(target);
@@ -850,6 +858,20 @@
   ServeQueue(target);
 }
 
+// A new owner doesn't know what the one before it left running. Reports may
+// mislead, so they hold slots back only for a while and never more than before.
+void service_shard::CountInherited(target_record* target,
+                                   std::uint32_t reported_busy, bool joined) {
+  const auto owned = now_ - *started_;
+  if (owned > kInheritedFor) {
+    target->inherited = 0;
+  } else if (joined && owned <= kTakeOverTime) {
+    target->inherited = std::min(reported_busy, target->slots);
+  } else {
+    target->inherited = std::min(target->inherited, reported_busy);
+  }
+}
+
 void service_shard::NoteSuspension() {
   const bool was_suspended =
       last_event_ && now_ - *last_event_ > kSuspendedAfter;
--- a/Source/Traffic/service_shard.h
+++ b/Source/Traffic/service_shard.h
@@ -135,6 +135,8 @@
   void HandleOverdue(attempt_id id);
   void CheckSilence();
   void NoteSuspension();
+  void CountInherited(target_record* target, std::uint32_t reported_busy,
+                      bool joined);
   void EraseClosedFlows();
   void FlushWhenOut();
 
--- a/Source/Traffic/target_table.h
+++ b/Source/Traffic/target_table.h
@@ -29,7 +29,9 @@
   target_state state = target_state::kCold;
   std::uint32_t slots = 0;
   std::uint32_t connections = 0;
-  std::uint32_t busy = 0;   // Requests sent whose slot isn't free again.
+  std::uint32_t busy = 0;  // Requests sent whose slot isn't free again.
+  // Requests of an earlier owner that it still works on, as it says itself.
+  std::uint32_t inherited = 0;
   std::uint32_t flows = 0;  // Open flows.
   instant last_heard;
   target_serial serial;
--- a/Source/UnitTests/Traffic/service_shard_test.cc
+++ b/Source/UnitTests/Traffic/service_shard_test.cc
@@ -75,6 +75,51 @@
   }
 }
 
+TEST_CASE("a new owner leaves the slots alone that an earlier one has filled") {
+  shard_driver d;
+  const auto announce = [&](std::uint32_t busy) {
+    d.Reduce(shard_announced{shard_driver::Connection("a"),
+                             {.target = {"a"},
+                              .service = {"catalogue"},
+                              .boot = {1},
+                              .state = target_state::kReady,
+                              .slots = 2,
+                              .connections = 2000,
+                              .reported_busy = busy}});
+  };
+  announce(2);
+  d.Open(1);
+  d.Request(1, 1, "hold", false, milliseconds(3000));
+  REQUIRE(d.runs.empty());
+
+  SECTION("until the target says that they are free") {
+    announce(0);
+    REQUIRE(d.runs.size() == 1);
+  }
+  SECTION("but not for long, as reports may mislead") {
+    for (int i = 0; i < 30 && d.runs.empty(); ++i) {
+      d.Pass(milliseconds(190));
+      announce(2);
+      d.Request(1, 2 + i, "hold", false, milliseconds(3000));
+    }
+    REQUIRE_FALSE(d.runs.empty());
+  }
+  SECTION("and a target that joins later is taken at its word for none") {
+    d.Pass(milliseconds(1600), {});
+    d.Reduce(shard_announced{shard_driver::Connection("b"),
+                             {.target = {"b"},
+                              .service = {"catalogue"},
+                              .boot = {2},
+                              .state = target_state::kReady,
+                              .slots = 2,
+                              .connections = 2000,
+                              .reported_busy = 99}});
+    d.Open(2);
+    d.Request(2, 1);
+    REQUIRE(d.runs.back().target == target_name{"b"});
+  }
+}
+
 TEST_CASE("urgent work goes first") {
   shard_driver d;
   d.Announce("a");
