--- a/Source/Traffic/messages.cc
+++ b/Source/Traffic/messages.cc
@@ -82,4 +82,16 @@
   return "invalid";
 }
 
+const run_request* RequestIn(const caller_packet& packet) {
+  return std::get_if<run_request>(&packet.body);
+}
+
+request_number NumberIn(const caller_packet& packet) {
+  if (const auto* request = RequestIn(packet)) return request->number;
+  if (const auto* cancel = std::get_if<cancel_request>(&packet.body)) {
+    return cancel->number;
+  }
+  return {};
+}
+
 }  // namespace lavendertack
--- a/Source/Traffic/messages.h
+++ b/Source/Traffic/messages.h
@@ -60,6 +60,11 @@
   caller_body body;
 };
 
+// The request that the packet holds, or null.
+const run_request* RequestIn(const caller_packet& packet);
+// The number of the request that the packet is about; 0 for none.
+request_number NumberIn(const caller_packet& packet);
+
 // Values are those of wire::answer_kind.
 enum class answer_kind {
   kOpened = 1,
--- a/Source/Traffic/service_shard.h
+++ b/Source/Traffic/service_shard.h
@@ -24,6 +24,8 @@
 
 // A target that says nothing for so long gets no more packets.
 inline constexpr milliseconds kTargetSilence{3000};
+// When a caller may come back whose refusal has no queue behind it.
+inline constexpr milliseconds kComeBack{250};
 // A silent target's running requests are remembered for so long.
 inline constexpr seconds kLostRetention{60};
 // The slot of a request that the target never answers is free again after it.
