--- a/Source/Entry/entry_instance.h
+++ b/Source/Entry/entry_instance.h
@@ -42,6 +42,7 @@
   // Stopped, and callers have gone elsewhere.
   bool IsOver(instant now) const;
 
+  const entry_settings& settings() const { return settings_; }
   const control_follower& follower() const { return follower_; }
   const flow_router& router() const { return router_; }
 
--- a/Source/Forwarding/flow_router.cc
+++ b/Source/Forwarding/flow_router.cc
@@ -101,6 +101,7 @@
   if (auto attempt = attempts_.Take(packet.flow)) {
     load_.AddPending(attempt->tag, -1);
     load_.Answered(packet.tag);
+    answer_latency_.Count(now - attempt->sent);
   }
   const known_target* target = state_->targets.FindByTag(packet.tag);
   if (target == nullptr) return drop_packet{forward_reason::kUnknownTag};
--- a/Source/Forwarding/flow_router.h
+++ b/Source/Forwarding/flow_router.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "Common/instant.h"
+#include "Common/latency_histogram.h"
 #include "Forwarding/demand.h"
 #include "Forwarding/open_attempts.h"
 #include "Forwarding/packet.h"
@@ -50,6 +51,8 @@
   void set_choice(choose_target choice) { choice_ = std::move(choice); }
   const target_load& load() const { return load_; }
   const demand_meter& demand() const { return demand_; }
+  // From a connection's first packet to its caller's next one.
+  const latency_histogram& answer_latency() const { return answer_latency_; }
 
  private:
   forward_verdict Open(instant now, const flow_packet& packet);
@@ -65,6 +68,7 @@
   data_centre_name own_;
   std::mt19937_64 random_;
   demand_meter demand_;
+  latency_histogram answer_latency_;
   target_load load_;
   open_attempts attempts_;
   choose_target choice_;
--- a/Source/Runtime/control_loop.cc
+++ b/Source/Runtime/control_loop.cc
@@ -12,8 +12,10 @@
 
 #include "Control/control_instance.h"
 #include "Runtime/fleet_links.h"
+#include "Runtime/fleet_queries.h"
 #include "Runtime/http_server.h"
 #include "Runtime/process_time.h"
+#include "Runtime/query_port.h"
 #include "Storage/record_log.h"
 
 namespace lavendertack {
@@ -81,6 +83,11 @@
         [this](http_request request) {
           return calls_.Ask(std::move(request));
         });
+    const ipv4_endpoint query_address{settings_.self, settings_.metrics_port};
+    if (auto reason = queries_.Open(query_address)) {
+      log_.Write("metrics_not_served",
+                 {{"address", ToString(query_address)}, {"reason", *reason}});
+    }
     return std::nullopt;
   }
 
@@ -92,10 +99,15 @@
         Dispatch(control_message{link, std::move(message)});
       });
       HandleCalls();
+      queries_.AnswerAll([this](const std::string& path) {
+        return AnswerControlQuery(
+            {*control_, counts_, log_, links_, settings_.machine, Now()}, path);
+      });
       if (Now() >= next_tick_) Tick();
     }
     log_.Write("stopping", {{"signals", signals_->stop.load()}});
     calls_.Close();
+    queries_.Close();
     for (auto& [call, waiting] : waiting_) {
       waiting.answer(adapter_.calls.answer_order(
           waiting.request, order_unsure{"the instance stops"}, waiting.is_read,
@@ -111,6 +123,7 @@
     http_request request;
     bool is_read = false;
     admin_queue::answer_function answer;
+    instant asked;
   };
 
   std::string RecordsPath() const { return role_.data_folder + "/control.log"; }
@@ -173,6 +186,7 @@
   void Poll() {
     std::vector<zmq::pollitem_t> items = links_.PollItems();
     items.push_back({nullptr, wake_file_, ZMQ_POLLIN, 0});
+    items.push_back({nullptr, queries_.file(), ZMQ_POLLIN, 0});
     const auto wait = std::max(
         milliseconds(0), std::chrono::ceil<milliseconds>(next_tick_ - Now()));
     try {
@@ -233,6 +247,7 @@
   void HandleCall(admin_queue::item* item) {
     control_call call = adapter_.calls.decode(item->request);
     if (const auto* refused = std::get_if<refused_call>(&call)) {
+      ++counts_.refused_calls;
       log_.Write("call_refused", {{"method", item->request.method},
                                   {"path", item->request.path},
                                   {"status", refused->status},
@@ -252,7 +267,7 @@
       const operator_call id{++last_call_};
       waiting_[id] = {std::move(item->request),
                       std::holds_alternative<read_published>(order),
-                      std::move(item->answer)};
+                      std::move(item->answer), Now()};
       waiting_[id].request.body.clear();
       Dispatch(operator_ordered{id, std::move(order)});
     }
@@ -296,6 +311,7 @@
                                       ? order_unsure{"the disk takes no record"}
                                       : effect.outcome;
     LogOrder(it->second.request, outcome);
+    counts_.order_latency.Count(Now() - it->second.asked);
     it->second.answer(adapter_.calls.answer_order(
         it->second.request, outcome, it->second.is_read, control_->published(),
         role_.calls.port));
@@ -309,6 +325,7 @@
   }
   void Carry(const report_noted& effect) {
     const target_report& report = effect.report;
+    ++counts_.reports[report.phase];
     log_.Write(
         "target_reported",
         {{"target", report.id.value},
@@ -360,6 +377,7 @@
       result = "unsure";
       detail = unsure->reason;
     }
+    ++counts_.orders[result];
     log_.Write(
         "order",
         {{"method", request.method},
@@ -385,6 +403,8 @@
   record_log records_;
   record_log saved_targets_;
   std::unique_ptr<control_instance> control_;
+  control_counts counts_;
+  query_port queries_;
   std::unique_ptr<http_server> server_;
   std::map<operator_call, waiting_call> waiting_;
   std::uint64_t last_call_ = 0;
--- a/Source/Runtime/entry_loop.cc
+++ b/Source/Runtime/entry_loop.cc
@@ -9,9 +9,11 @@
 
 #include "Entry/entry_instance.h"
 #include "Runtime/fleet_links.h"
+#include "Runtime/fleet_queries.h"
 #include "Runtime/http_server.h"
 #include "Runtime/packet_socket.h"
 #include "Runtime/process_time.h"
+#include "Runtime/query_port.h"
 
 namespace lavendertack {
 namespace {
@@ -65,6 +67,11 @@
           }
           return adapter_.calls.answer_readiness(ready_);
         });
+    const ipv4_endpoint query_address{settings_.self, settings_.metrics_port};
+    if (auto reason = queries_.Open(query_address)) {
+      log_.Write("metrics_not_served",
+                 {{"address", ToString(query_address)}, {"reason", *reason}});
+    }
     log_.Write("started",
                {{"role", "entry"},
                 {"packets", ToString(addresses.packets)},
@@ -87,8 +94,14 @@
           LogNote(&log_, note);
         }
       });
+      queries_.AnswerAll([this](const std::string& path) {
+        counts_.unsent = packets_.unsent();
+        return AnswerEntryQuery(
+            {entry_, counts_, log_, links_, settings_.machine, Now()}, path);
+      });
       if (Now() >= next_tick_) Tick();
     }
+    queries_.Close();
     log_.Write("stopped", {{"role", "entry"}});
     log_.Tick(Now());
   }
@@ -97,6 +110,7 @@
   void Poll() {
     std::vector<zmq::pollitem_t> items = links_.PollItems();
     items.push_back({nullptr, packets_.file(), ZMQ_POLLIN, 0});
+    items.push_back({nullptr, queries_.file(), ZMQ_POLLIN, 0});
     const auto wait = std::max(
         milliseconds(0), std::chrono::ceil<milliseconds>(next_tick_ - Now()));
     try {
@@ -148,10 +162,12 @@
     const instant now = Now();
     auto packet = adapter_.packets.decode(bytes);
     if (!packet) {
-      ++malformed_;
+      ++counts_.malformed;
       return;
     }
     const forward_verdict verdict = entry_.Route(now, *packet);
+    ++counts_
+          .packets[std::visit([](const auto& v) { return v.reason; }, verdict)];
     if (const auto* forward = std::get_if<forward_to_target>(&verdict)) {
       auto prefix = adapter_.packets.prefix(forward->target->report.id);
       if (!prefix) return;
@@ -209,7 +225,8 @@
   std::unique_ptr<http_server> readiness_;
   instant next_tick_;
   bool stopping_ = false;
-  std::uint64_t malformed_ = 0;
+  entry_counts counts_;
+  query_port queries_;
 };
 
 }  // namespace
--- /dev/null
+++ b/Source/Runtime/fleet_queries.cc
@@ -0,0 +1,229 @@
+#include "Runtime/fleet_queries.h"
+
+#include <nlohmann/json.hpp>
+
+#include "Common/exposition.h"
+
+namespace lavendertack {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kMetricsType = "text/plain; version=0.0.4";
+
+http_answer Json(const json& body) {
+  return {200,
+          body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n"};
+}
+
+http_answer NoSuchPath() { return {404, "{\"error\":\"no such path\"}\n"}; }
+
+std::int64_t AgeMs(instant now, instant then) {
+  return std::chrono::duration_cast<milliseconds>(now - then).count();
+}
+
+void ExposeFollower(instant now, const control_follower& follower,
+                    exposition* out) {
+  std::size_t heard = 0;
+  for (const auto& [name, control] : follower.controls()) {
+    if (follower.Hears(now, name)) ++heard;
+  }
+  out->Single("controls_known", "gauge", "Control instances that are followed.",
+              follower.controls().size());
+  out->Single("controls_heard", "gauge", "Of these, heard lately.", heard);
+  std::map<std::string, std::uint64_t> targets;
+  for (const auto& [id, target] : follower.state().targets.targets()) {
+    const bool silent = !target->IsOver() && !target->IsHeard(now);
+    ++targets[silent ? "silent" : ToString(target->report.phase)];
+  }
+  out->Family("targets", "gauge", "Targets known, by phase.");
+  for (const auto& [phase, count] : targets) {
+    out->Sample(Label("phase", phase), count);
+  }
+}
+
+void ExposeProcess(const event_log& log, const fleet_links& links,
+                   exposition* out) {
+  out->Single("peer_sent_bytes_total", "counter",
+              "Bytes sent to other instances.", links.sent_bytes());
+  out->Single("peer_received_bytes_total", "counter",
+              "Bytes received from other instances.", links.received_bytes());
+  out->Single("peer_malformed_total", "counter",
+              "Messages of other instances that can't be read.",
+              links.malformed());
+  out->Single("peer_reopened_total", "counter",
+              "Connections opened anew after a silence.", links.reopened());
+  out->Single("log_lines_total", "counter", "Lines written to the log.",
+              log.written());
+  out->Single("log_lines_left_out_total", "counter",
+              "Lines that the budget or a full pipe kept out.", log.left_out());
+}
+
+std::string EntryMetrics(const entry_query_view& view) {
+  exposition out;
+  const control_follower& follower = view.entry.follower();
+  out.Family("packets_total", "counter", "Callers' packets, by what was done.");
+  for (const auto& [reason, count] : view.counts.packets) {
+    out.Sample(Label("reason", ToString(reason)), count);
+  }
+  out.Single("packets_malformed_total", "counter",
+             "Datagrams that are no packet.", view.counts.malformed);
+  out.Single("packets_unsent_total", "counter",
+             "Packets that the system didn't take.", view.counts.unsent);
+  out.Family("connection_answer_seconds", "histogram",
+             "From a connection's first packet to its caller's next one.");
+  view.entry.router().answer_latency().Expose(&out);
+  out.Single("ready", "gauge", "Whether callers should be sent here.",
+             view.entry.IsReady(view.now) ? 1 : 0);
+  out.Single("manifest_version", "gauge", "Newest manifest in force here.",
+             follower.version().value);
+  ExposeFollower(view.now, follower, &out);
+  ExposeProcess(view.log, view.links, &out);
+  return out.Text();
+}
+
+std::string ControlMetrics(const control_query_view& view) {
+  exposition out;
+  const control_instance& control = view.control;
+  out.Family("orders_total", "counter", "Operators' calls, by result.");
+  for (const auto& [result, count] : view.counts.orders) {
+    out.Sample(Label("result", result), count);
+  }
+  out.Family("order_seconds", "histogram",
+             "From an operator's call to its answer.");
+  view.counts.order_latency.Expose(&out);
+  out.Family("target_changes_total", "counter",
+             "Reports of targets that changed something, by phase.");
+  for (const auto& [phase, count] : view.counts.reports) {
+    out.Sample(Label("phase", ToString(phase)), count);
+  }
+  out.Single("calls_refused_total", "counter", "Calls that aren't right.",
+             view.counts.refused_calls);
+  out.Single("majority_heard", "gauge",
+             "Whether a majority of the voters is heard.",
+             control.IsCurrent(view.now) ? 1 : 0);
+  out.Single("voters", "gauge", "Control instances that vote.",
+             control.published().voters().size());
+  out.Single("votes", "gauge", "Whether this one does.",
+             control.agreed().IsVoting() ? 1 : 0);
+  out.Single("applied_entry", "gauge", "Newest entry of the agreed log.",
+             control.agreed().chosen_index().value);
+  out.Single("manifest_version", "gauge", "Newest manifest.",
+             control.published().published().version.value);
+  out.Single("followers", "gauge", "Instances that follow this one.",
+             control.follower_count());
+  ExposeFollower(view.now, control.peers(), &out);
+  ExposeProcess(view.log, view.links, &out);
+  return out.Text();
+}
+
+json DescribeControls(instant now, const control_follower& follower) {
+  json rows = json::array();
+  for (const auto& [name, control] : follower.controls()) {
+    rows.push_back({{"control", name.value},
+                    {"data_centre", control.data_centre.value},
+                    {"heard", follower.Hears(now, name)},
+                    {"current", control.current},
+                    {"entry", control.closed_at.value}});
+  }
+  return rows;
+}
+
+json DescribeTargets(instant now, const target_view& targets) {
+  json rows = json::array();
+  for (const auto& [id, target] : targets.targets()) {
+    std::string heard_by;
+    for (const auto& [source, until] : target->heard_by) {
+      if (until > now) heard_by += (heard_by.empty() ? "" : ",") + source.value;
+    }
+    rows.push_back(
+        {{"target", id.value},
+         {"service", target->report.service.value},
+         {"address", ToString(target->report.address)},
+         {"data_centre", target->report.data_centre.value},
+         {"phase",
+          target->replaced ? "replaced" : ToString(target->report.phase)},
+         {"tag", target->tag.value},
+         {"cold_ms", std::max<std::int64_t>(0, AgeMs(target->cold_until, now))},
+         {"sequence", target->report.age.sequence},
+         {"changed_ms_ago", AgeMs(now, target->changed)},
+         {"heard_by", heard_by}});
+  }
+  return rows;
+}
+
+// Targets that report to the asked control instance itself.
+json DescribeBook(instant now, const target_book& book) {
+  json rows = json::array();
+  for (const auto& [id, target] : book.targets()) {
+    rows.push_back(
+        {{"target", id.value},
+         {"service", target.report.service.value},
+         {"address", ToString(target.report.address)},
+         {"data_centre", target.report.data_centre.value},
+         {"phase", ToString(target.report.phase)},
+         {"tag", TagOf(id).value},
+         {"cold_ms", std::max<std::int64_t>(0, AgeMs(target.cold_until, now))},
+         {"sequence", target.report.age.sequence},
+         {"changed_ms_ago", AgeMs(now, target.heard)},
+         {"heard_by", "itself"}});
+  }
+  return rows;
+}
+
+json ClosedNames(const std::set<data_centre_name>& closed) {
+  json names = json::array();
+  for (const data_centre_name& name : closed) names.push_back(name.value);
+  return names;
+}
+
+}  // namespace
+
+http_answer AnswerEntryQuery(const entry_query_view& view,
+                             const std::string& path) {
+  const control_follower& follower = view.entry.follower();
+  if (path == "/metrics") return {200, EntryMetrics(view), kMetricsType};
+  if (path == "/v1/targets") {
+    return Json(
+        {{"instance", view.instance},
+         {"targets", DescribeTargets(view.now, follower.state().targets)}});
+  }
+  if (path != "/v1/status") return NoSuchPath();
+  return Json({{"instance", view.instance},
+               {"role", "entry"},
+               {"data_centre", view.entry.settings().data_centre.value},
+               {"ready", view.entry.IsReady(view.now)},
+               {"manifest", follower.version().value},
+               {"entry", follower.applied().value},
+               {"routes", follower.state().routes.size()},
+               {"closed", ClosedNames(follower.state().closed)},
+               {"controls", DescribeControls(view.now, follower)}});
+}
+
+http_answer AnswerControlQuery(const control_query_view& view,
+                               const std::string& path) {
+  const control_instance& control = view.control;
+  if (path == "/metrics") return {200, ControlMetrics(view), kMetricsType};
+  if (path == "/v1/targets") {
+    return Json({{"instance", view.instance},
+                 {"targets", DescribeBook(view.now, control.targets())}});
+  }
+  if (path != "/v1/status") return NoSuchPath();
+  json voters = json::array();
+  for (const auto& [name, storage] : control.published().voters()) {
+    voters.push_back(name.value);
+  }
+  return Json({{"instance", view.instance},
+               {"role", "control"},
+               {"ready", control.IsCurrent(view.now)},
+               {"manifest", control.published().published().version.value},
+               {"entry", control.agreed().chosen_index().value},
+               {"routes", control.published().published().routes.size()},
+               {"closed", ClosedNames(control.published().closed())},
+               {"votes", control.agreed().IsVoting()},
+               {"voters", voters},
+               {"followers", control.follower_count()},
+               {"controls", DescribeControls(view.now, control.peers())}});
+}
+
+}  // namespace lavendertack
--- a/Source/Runtime/metrics.cc
+++ b/Source/Runtime/metrics.cc
@@ -3,53 +3,13 @@
 #include <array>
 #include <sstream>
 
+#include "Common/exposition.h"
+
 namespace lavendertack {
 namespace {
 
 constexpr std::array<double, 3> kQuantiles{0.5, 0.9, 0.99};
 
-// Writes one metric family after the other.
-class exposition {
- public:
-  void Family(const std::string& name, const std::string& type,
-              const std::string& help) {
-    name_ = "lavendertack_" + name;
-    out_ << "# HELP " << name_ << " " << help << "\n# TYPE " << name_ << " "
-         << type << "\n";
-  }
-  template <typename Value>
-  void Sample(const std::string& labels, Value value,
-              const std::string& suffix = "") {
-    out_ << name_ << suffix;
-    if (!labels.empty()) out_ << "{" << labels << "}";
-    out_ << " " << value << "\n";
-  }
-  template <typename Value>
-  void Single(const std::string& name, const std::string& type,
-              const std::string& help, Value value) {
-    Family(name, type, help);
-    Sample("", value);
-  }
-  std::string Text() const { return out_.str(); }
-
- private:
-  std::ostringstream out_;
-  std::string name_;
-};
-
-std::string Label(const std::string& key, std::string_view value) {
-  std::string text = key + "=\"";
-  for (const char c : value) {
-    if (c == '"' || c == '\\') text += '\\';
-    if (c == '\n') {
-      text += "\\n";
-    } else {
-      text += c;
-    }
-  }
-  return text + "\"";
-}
-
 void ExposeShards(const node& state, exposition* out) {
   const auto each = [&](const std::string& name, const std::string& help,
                         auto value) {
