--- a/Source/Ctl/verb_runs.h
+++ b/Source/Ctl/verb_runs.h
@@ -25,6 +25,13 @@
 int PrintSettingsReference(const verb_context& context,
                            const verb_words& words);
 
+int ShowFleetStatus(const verb_context& context, const verb_words& words);
+int ShowFleetTargets(const verb_context& context, const verb_words& words);
+int ExplainLog(const verb_context& context, const verb_words& words);
+
+// Prints the rows below `key` of every instance that answers.
+int ShowRows(const verb_context& context, const std::string& path,
+             const std::string& key, const std::vector<std::string>& columns);
 // Asks, prints a failure to reach anybody, and returns nothing then.
 std::optional<admin_reply> AskOrTell(const verb_context& context,
                                      const std::string& method,
--- a/Source/Ctl/verbs.cc
+++ b/Source/Ctl/verbs.cc
@@ -73,6 +73,20 @@
       {"dc in", "NAME", 1, 1,
        "Takes a data centre back in, in the same way as `dc out`.",
        TakeDataCentreIn},
+      {"fleet status", "", 0, 0,
+       "Shows which control instances each entry or control instance of "
+       "--admin hears,\nand how new what they say is. Their metrics port is "
+       "9464.",
+       ShowFleetStatus},
+      {"fleet targets", "", 0, 0,
+       "Lists the targets that entry or control instances of --admin know.",
+       ShowFleetTargets},
+      {"fleet explain", "ID FILE", 2, 2,
+       "Prints what saved logs of a fleet say of an id, in the order of time: "
+       "a "
+       "caller's\naddress and port, a target, its tag, a control instance or a "
+       "manifest's number.",
+       ExplainLog},
       {"settings check", "FILE", 1, 1,
        "Checks an instance's settings file against this machine.",
        CheckSettings},
--- a/Source/Ctl/verbs_view.cc
+++ b/Source/Ctl/verbs_view.cc
@@ -36,8 +36,16 @@
   return rows;
 }
 
-int Show(const verb_context& context, const std::string& path,
-         const std::string& key, const std::vector<std::string>& columns) {
+bool IsNumber(const std::string& text) {
+  return !text.empty() && text.size() <= 20 &&
+         std::all_of(text.begin(), text.end(),
+                     [](char c) { return c >= '0' && c <= '9'; });
+}
+
+}  // namespace
+
+int ShowRows(const verb_context& context, const std::string& path,
+             const std::string& key, const std::vector<std::string>& columns) {
   const auto rows = Gather(context, path, key);
   if (!rows) return kExitUnreachable;
   if (context.options.json) {
@@ -48,14 +56,6 @@
   return kExitDone;
 }
 
-bool IsNumber(const std::string& text) {
-  return !text.empty() && text.size() <= 20 &&
-         std::all_of(text.begin(), text.end(),
-                     [](char c) { return c >= '0' && c <= '9'; });
-}
-
-}  // namespace
-
 int ShowStatus(const verb_context& context, const verb_words&) {
   const auto reply = AskOrTell(context, "GET", "/v1/status");
   if (!reply) return kExitUnreachable;
@@ -80,16 +80,16 @@
 }
 
 int ShowTargets(const verb_context& context, const verb_words&) {
-  return Show(context, "/v1/targets", "targets",
-              {"instance", "service", "target", "state", "slots", "busy",
-               "connections", "flows"});
+  return ShowRows(context, "/v1/targets", "targets",
+                  {"instance", "service", "target", "state", "slots", "busy",
+                   "connections", "flows"});
 }
 
 int ShowFlows(const verb_context& context, const verb_words& words) {
   const std::string path =
       words.empty() ? "/v1/flows" : "/v1/flows/" + words.at(0);
-  return Show(context, path, "flows",
-              {"instance", "service", "flow", "target", "live_requests"});
+  return ShowRows(context, path, "flows",
+                  {"instance", "service", "flow", "target", "live_requests"});
 }
 
 int Explain(const verb_context& context, const verb_words& words) {
@@ -100,8 +100,8 @@
   }
   std::string path = "/v1/decisions/" + words.at(0);
   if (words.size() > 1) path += "/" + words.at(1);
-  return Show(context, path, "decisions",
-              {"instance", "ago_ms", "part", "request", "text"});
+  return ShowRows(context, path, "decisions",
+                  {"instance", "ago_ms", "part", "request", "text"});
 }
 
 }  // namespace lavendertack
--- a/Source/UnitTests/Ctl/verbs_test.cc
+++ b/Source/UnitTests/Ctl/verbs_test.cc
@@ -128,6 +128,39 @@
   std::filesystem::remove(file);
 }
 
+TEST_CASE("an engineer asks a fleet, and its saved logs") {
+  fake_instances instances;
+
+  SECTION("which control instances an instance hears") {
+    instances.answer = [](const asked_call& asked) {
+      CHECK(asked.call.path == "/v1/status");
+      return Reply(
+          200, {{"instance", "entry-1"},
+                {"controls", {{{"control", "10.0.0.1"}, {"heard", false}}}}});
+    };
+    CHECK(instances.Run({"fleet", "status"}) == kExitDone);
+    CHECK(instances.out.str().find("10.0.0.1") != std::string::npos);
+  }
+  SECTION("what became of a caller's connection") {
+    const std::string file = (std::filesystem::temp_directory_path() /
+                              ("log-" + std::to_string(getpid())))
+                                 .string();
+    std::ofstream(file)
+        << R"({"time_ms":20,"instance":"b","event":"flow_reset","caller":"1.2.3.4:5"})"
+        << "\nno line of ours\n{broken\n"
+        << R"(  1.0 b {"time_ms":10,"instance":"a","event":"flow_opened","caller":"1.2.3.4:5","tag":77})"
+        << "\n"
+        << R"({"time_ms":15,"instance":"a","event":"flow_opened","caller":"1.2.3.4:55"})"
+        << "\n";
+    CHECK(instances.Run({"fleet", "explain", "1.2.3.4:5", file}) == kExitDone);
+    const std::string told = instances.out.str();
+    CHECK(told.find("flow_opened") < told.find("flow_reset"));
+    CHECK(told.find("1.2.3.4:55") == std::string::npos);
+    std::filesystem::remove(file);
+    CHECK(instances.Run({"fleet", "explain", "1.2.3.4:5", file}) == kExitUsage);
+  }
+}
+
 TEST_CASE("an operator takes a data centre out") {
   fake_instances instances;
   instances.options.wait = milliseconds(0);
