--- a/Source/Control/control_instance.cc
+++ b/Source/Control/control_instance.cc
@@ -140,7 +140,8 @@
     return answer(order_unsure{"no majority of the voters is heard"});
   }
   const bool is_read = std::holds_alternative<read_published>(event.order);
-  if (!is_read && published_.voters().size() < WantedVoters() &&
+  if (!is_read &&
+      published_.voters().size() < VotersFor(settings_.tolerated_losses) &&
       now_ - *started_ < kWaitForVoters) {
     return answer(order_unsure{"too few voters yet"});
   }
--- a/Source/UnitTests/Control/fleet_run_test.cc
+++ b/Source/UnitTests/Control/fleet_run_test.cc
@@ -154,6 +154,18 @@
   }
 }
 
+TEST_CASE("a single control instance serves where no loss is tolerated") {
+  fleet_world world({.seed = 4, .controls = 1, .tolerated_losses = 0});
+  world.Run(kFounding);
+  REQUIRE(world.PublishUntilDone(1, seconds(2)));
+  world.Kill(0);
+  world.Start(0);
+  world.Run(milliseconds(500));
+  world.Read(0);
+  world.Run(milliseconds(100));
+  REQUIRE(world.read_count() == 1);
+}
+
 TEST_CASE("a control instance is replaced without an operator") {
   fleet_world world({.seed = 5, .controls = 4, .tolerated_losses = 1});
   world.Run(kFounding);
--- a/Source/UnitTests/Control/voter_plan_test.cc
+++ b/Source/UnitTests/Control/voter_plan_test.cc
@@ -73,6 +73,24 @@
     peers[1].storage = {0};
     REQUIRE(PlanVoters(kSettings, voters, peers)->added == instance_name{"d"});
   }
+  SECTION("no data centre keeps so many that its loss would stop the rest") {
+    peers[1].data_centre = {"x"};
+    peers[3].data_centre = {"x"};
+    REQUIRE_FALSE(PlanVoters(kSettings, voters, peers));
+    peers.push_back(Peer("e", "w", 5));
+    const auto change = PlanVoters(kSettings, voters, peers);
+    REQUIRE(change);
+    REQUIRE(change->added == instance_name{"e"});
+    REQUIRE((change->removed == instance_name{"a"} ||
+             change->removed == instance_name{"b"}));
+
+    SECTION("and it stays so once it's spread") {
+      replica_set spread = voters;
+      spread.erase(change->removed);
+      spread[{"e"}] = {5};
+      REQUIRE_FALSE(PlanVoters(kSettings, spread, peers));
+    }
+  }
   SECTION("more are added where fewer vote than are wanted") {
     auto more = kSettings;
     more.wanted = 5;
