Targets: a target that is known by its silence alone keeps its connections

Control instances tell of it, but silence of an unknown target was passed over. Its connections may be alive, so it's known now, takes no new ones, and is over when a later target has its address. Test seen failing; the naive view of the differential test models the same.

--- a/Source/Targets/target_view.cc
+++ b/Source/Targets/target_view.cc
@@ -62,18 +62,23 @@
                                                 const report_source& source,
                                                 const target_report& report) {
   const bool is_silence = report.phase == target_phase::kSilent;
-  // Silence of a target that nobody has told of says nothing.
-  if (is_silence && !targets_.contains(report.id)) return std::nullopt;
   auto [it, added] = targets_.try_emplace(report.id);
   if (added) {
     it->second = std::make_unique<known_target>();
     known_target& target = *it->second;
     target.report = report;
+    // Its connections may be alive, so its address is worth knowing. Whether it
+    // was ready isn't told: any report of its own says more.
+    if (is_silence) {
+      target.report.phase = target_phase::kDraining;
+      target.report.age.sequence = 0;
+    }
     target.tag = TagOf(report.id);
     target.cold_until = now + report.cold_left;
     target.changed = now;
     Index(&target);
     Replace(now, &target);
+    if (is_silence) return std::nullopt;
     if (report.phase != target_phase::kGone) {
       target.heard_by[source] = instant::max();
     }
