--- a/Source/Runtime/entry_loop.cc
+++ b/Source/Runtime/entry_loop.cc
@@ -196,13 +196,14 @@
     }
     const std::string_view target_id =
         target == nullptr ? std::string_view() : target->report.id.value;
+    const target_tag tag = target == nullptr ? packet.tag : target->tag;
     log_.WriteFlow(
         now, event,
         {{"caller", ToString(packet.flow.caller)},
          {"route", ToString(packet.flow.route)},
          {"sequence", static_cast<std::int64_t>(packet.sequence)},
          {"copy", static_cast<std::int64_t>(packet.copy)},
-         {"tag", static_cast<std::int64_t>(packet.tag.value)},
+         {"tag", static_cast<std::int64_t>(tag.value)},
          {"reason", ToString(reason)},
          {"target", target_id},
          {"manifest",
