--- a/Source/UnitTests/Control/fleet_world.cc
+++ b/Source/UnitTests/Control/fleet_world.cc
@@ -24,7 +24,7 @@
   if (!(in >> decoded.version.value)) return std::nullopt;
   in >> content;
   for (const char letter : content) {
-    const auto port = static_cast<std::uint16_t>(letter);
+    const auto port = static_cast<unsigned char>(letter);
     decoded.routes[{{1}, {port}}] = {.shares = {{{std::string(1, letter)}, 1}},
                                      .priority = 0};
   }
@@ -33,10 +33,7 @@
 
 fleet_world::fleet_world(fleet_settings_of_test settings)
     : settings_(settings), random_(settings.seed) {
-  for (std::size_t i = 0; i < settings.controls; ++i) {
-    machines_.push_back({.name = {"10.0.0." + std::to_string(i + 1)},
-                         .disk = std::make_unique<fake_disk>()});
-  }
+  for (std::size_t i = 0; i < settings.controls; ++i) AddMachine();
   for (std::size_t i = 0; i < settings.controls; ++i) Start(i);
   for (std::size_t i = 0; i < settings.entries; ++i) {
     entries_.push_back({.name = {"10.1.0." + std::to_string(i + 1)}});
@@ -114,12 +111,17 @@
 
 std::size_t fleet_world::AddControl() {
   const std::size_t i = machines_.size();
-  machines_.push_back({.name = {"10.0.0." + std::to_string(i + 1)},
-                       .disk = std::make_unique<fake_disk>()});
+  AddMachine();
   Start(i);
   return i;
 }
 
+void fleet_world::AddMachine() {
+  machine& added = machines_.emplace_back();
+  added.name = {"10.0.0." + std::to_string(machines_.size())};
+  added.disk = std::make_unique<fake_disk>();
+}
+
 microseconds fleet_world::Delay() {
   return microseconds(1000 + static_cast<std::int64_t>(random_() % 8000));
 }
--- a/Source/UnitTests/Control/fleet_world.h
+++ b/Source/UnitTests/Control/fleet_world.h
@@ -101,6 +101,7 @@
     log_index applied;
   };
 
+  void AddMachine();
   std::vector<instance_name> Seeds() const;
   void StartEntry(std::size_t i);
   void TickControl(std::size_t i, std::uint64_t life);
--- /dev/null
+++ b/Source/UnitTests/Entry/entry_instance_test.cc
@@ -0,0 +1,90 @@
+#include "Entry/entry_instance.h"
+
+#include <catch2/catch.hpp>
+
+namespace lavendertack {
+namespace {
+
+const instance_name kControl{"10.0.0.1"};
+const ipv4_endpoint kRoute{{0xc6120001}, {443}};
+
+wire::fleet_message Update(const std::string& from) {
+  wire::fleet_message message;
+  message.set_from(from);
+  auto* update = message.mutable_update();
+  update->set_current(true);
+  update->set_has_state(true);
+  update->set_whole_state(true);
+  update->set_state_to(3);
+  update->set_manifest_version(7);
+  auto* route = update->add_routes();
+  route->set_ip(kRoute.ip.value);
+  route->set_port(kRoute.port.value);
+  auto* share = route->add_shares();
+  share->set_service("catalogue");
+  share->set_weight(1);
+  update->set_target_epoch(5);
+  update->set_targets_to(1);
+  auto* target = update->add_targets();
+  target->set_id("i-1");
+  target->set_started_ms(1000);
+  target->set_sequence(1);
+  target->set_service("catalogue");
+  target->set_ip(0x0a000001);
+  target->set_port(8080);
+  target->set_data_centre("a");
+  target->set_phase(wire::PHASE_READY);
+  return message;
+}
+
+flow_packet Opening(std::uint16_t port) {
+  return {.flow = {{{0x64400001}, {port}}, kRoute}, .opens = true};
+}
+
+TEST_CASE("an entry instance serves from its first state to its last caller") {
+  entry_instance entry({.self = {"10.1.0.1"},
+                        .data_centre = {"a"},
+                        .seeds = {kControl},
+                        .seed = 1,
+                        .stop_within = milliseconds(6000)});
+  instant now{seconds(100)};
+  REQUIRE_FALSE(entry.IsReady(now));
+  REQUIRE(std::holds_alternative<drop_packet>(entry.Route(now, Opening(1))));
+
+  entry.Receive(now, Update(kControl.value));
+  REQUIRE(entry.IsReady(now));
+  REQUIRE(
+      std::holds_alternative<forward_to_target>(entry.Route(now, Opening(2))));
+
+  SECTION("asked to stop, it wants no callers and serves those who come") {
+    entry.Stop(now);
+    REQUIRE_FALSE(entry.IsReady(now));
+    REQUIRE(std::holds_alternative<forward_to_target>(
+        entry.Route(now, Opening(3))));
+    REQUIRE_FALSE(entry.IsOver(now + milliseconds(1600)));
+
+    SECTION("until the routers have noticed and it's quiet") {
+      REQUIRE(entry.IsOver(now + milliseconds(1700)));
+    }
+    SECTION("while callers come, and no longer than it may") {
+      for (int i = 0; i < 22; ++i) {
+        now += milliseconds(200);
+        entry.Route(now, Opening(static_cast<std::uint16_t>(10 + i)));
+        REQUIRE_FALSE(entry.IsOver(now));
+      }
+      now += milliseconds(200);
+      entry.Route(now, Opening(100));
+      REQUIRE(entry.IsOver(now));
+    }
+  }
+  SECTION("it goes on alone with what it knew") {
+    now += seconds(60);
+    entry.Tick(now);
+    REQUIRE(std::holds_alternative<forward_to_target>(
+        entry.Route(now, Opening(4))));
+    REQUIRE(entry.IsReady(now));
+  }
+}
+
+}  // namespace
+}  // namespace lavendertack
--- a/Source/UnitTests/Following/control_follower_test.cc
+++ b/Source/UnitTests/Following/control_follower_test.cc
@@ -17,8 +17,8 @@
 std::optional<manifest> Decode(const std::string& text) {
   manifest decoded;
   decoded.version = {std::stoull(text)};
-  for (std::uint16_t port = 1; port <= decoded.version.value % 20; ++port) {
-    decoded.routes[{{1}, {port}}] = {
+  for (std::uint64_t i = 1; i <= decoded.version.value % 20; ++i) {
+    decoded.routes[{{1}, {static_cast<std::uint16_t>(i)}}] = {
         .shares = {{{std::to_string(decoded.version.value)}, 1}},
         .priority = 0};
   }
