Traffic: a new owner answers every request under an old token as unknown

Ruled out: telling a duplicate from a new request by its number (a first sending may be overtaken) and a synced record for each request (cost). Change: the check of old tokens holds for repeatable requests too. So that an answer carries the new token also when the flow has no target, it keeps the token that the request came with; waiting for a flow's own target rests on the flow being rebuilt, not on the token. Price: the first request of each flow after a change of owner is "outcome unknown, owner changed" at once, under the new token.

--- a/Source/Traffic/flow_table.h
+++ b/Source/Traffic/flow_table.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
@@ -38,11 +39,12 @@
   run_request request;
   class_price price;
   caller_address caller;
+  std::optional<flow_token> token;  // That it came with.
   instant deadline;
   target_serial target;  // Where it waits or runs.
   bool running = false;
   bool may_have_run = false;  // Sent, and no target said that it didn't run.
-  // An earlier sending, or an owner of an earlier epoch, may have run it.
+  // An earlier sending may have run it.
   bool earlier_unknown = false;
   std::uint32_t sends = 0;
 };
--- a/Source/Traffic/service_shard.cc
+++ b/Source/Traffic/service_shard.cc
@@ -201,8 +201,9 @@
 std::optional<service_shard::outcome> service_shard::CheckRequest(
     const shard_packet& event, flow_record* flow) const {
   const auto& request = *RequestIn(event.packet);
-  // An owner of an earlier epoch, whose records are gone, may have sent it.
-  if (!request.repeatable && request.number <= flow->suspect) {
+  // An owner of an earlier epoch, whose records are gone, may have sent it, or
+  // have said that it never runs.
+  if (request.number <= flow->suspect) {
     return outcome{answer_kind::kOutcomeUnknown, refusal_reason::kOwnerChanged,
                    ""};
   }
@@ -236,8 +237,8 @@
   live_request& live = *record->live;
   live.request = request;
   live.caller = event.caller;
+  live.token = event.packet.token;
   live.deadline = now_ + request.deadline - event.waited;
-  live.earlier_unknown = request.number <= flow->suspect;
   deadlines_.Put(live.deadline, ref.key());
   if (auto refusal = CheckRequest(event, flow)) {
     EndRequest(ref, std::move(*refusal));
@@ -306,7 +307,7 @@
       return named;
     }
     const bool learning = now_ - *started_ < kLearnTime;
-    if (!known && learning && token->epoch != settings_.epoch) return nullptr;
+    if (!known && learning && flow->rebuilt) return nullptr;
   }
   return MoveFlow(flow, target);
 }
--- a/Source/Traffic/shard_answers.cc
+++ b/Source/Traffic/shard_answers.cc
@@ -43,7 +43,7 @@
       request_ended{live.request.service_class, result.kind,
                     now_ - (live.deadline - live.request.deadline)});
   deadlines_.Remove(live.deadline, request.key());
-  Answer(live.caller, AnswerOf(request, std::nullopt));
+  Answer(live.caller, AnswerOf(request, live.token));
   if (request.flow->closing) closed_.push_back(request.flow->id);
   flows_.Ended(request.flow, request.number, now_);
 }
--- a/Source/UnitTests/Traffic/service_shard_test.cc
+++ b/Source/UnitTests/Traffic/service_shard_test.cc
@@ -307,6 +307,15 @@
     next.Request(1, 3);
     REQUIRE(next.runs.size() == 1);
 
+    SECTION("also of repeatable work, which it may have refused") {
+      next.Finish(next.runs[0]);
+      next.Pass(milliseconds(500), {"a"});
+      next.tokens[1] = d.tokens[1];
+      next.Request(1, 4, "browse", true);
+      RequireAnswer(next, answer_kind::kOutcomeUnknown,
+                    refusal_reason::kOwnerChanged);
+      REQUIRE(next.runs.size() == 1);
+    }
     SECTION("and a closed flow isn't rebuilt by a late packet") {
       next.Finish(next.runs[0]);
       next.Packet(1, close_flow{});
@@ -485,10 +494,12 @@
     next.Request(1, 2, "browse", true);
     // The owner before may have run it, so "not run" would be no truth.
     RequireAnswer(next, answer_kind::kOutcomeUnknown,
-                  refusal_reason::kNoTarget);
+                  refusal_reason::kOwnerChanged);
+    next.Request(1, 3, "browse", true);
+    RequireAnswer(next, answer_kind::kNotRun, refusal_reason::kNoTarget);
     REQUIRE(next.answers.back().come_back > milliseconds(0));
     next.Announce("a");
-    next.Request(1, 3, "browse", true);
+    next.Request(1, 4, "browse", true);
     REQUIRE(next.runs.back().target == target_name{"a"});
     REQUIRE(next.shard.counters().moved == 0);
   }
--- a/Source/UnitTests/Traffic/shard_world.cc
+++ b/Source/UnitTests/Traffic/shard_world.cc
@@ -354,8 +354,7 @@
   ++row.runs;
   CHECK(row.repeatable || row.runs == 1)
       << "a request that may not be repeated ran twice";
-  CHECK(row.answer != answer_kind::kNotRun ||
-        (row.repeatable && row.answer_epoch != order.epoch.value))
+  CHECK(row.answer != answer_kind::kNotRun)
       << "a request ran after not run was said of it: " << ToString(row.reason)
       << ", runs " << row.runs << ", repeatable " << row.repeatable
       << ", epochs " << row.answer_epoch << " and " << order.epoch;
--- a/Tools/mutants.py
+++ b/Tools/mutants.py
@@ -28,7 +28,7 @@
      "  if (live.sends >= kMaxSends) return false;",
      "ServiceShardTest", "a request that may not be repeated runs at most once"),
     ("forget the epoch check",
-     "  if (!request.repeatable && request.number <= flow->suspect) {",
+     "  if (request.number <= flow->suspect) {",
      "  if (false) {",
      "ServiceShardTest", "a request that may not be repeated runs at most once"),
 ]
