--- a/Source/Control/control_instance.cc
+++ b/Source/Control/control_instance.cc
@@ -213,13 +213,11 @@
     effects_.emplace_back(
         send_to_control{request.to, std::move(request.message)});
     // Tells one that doesn't vote how far the log is.
-    wire::fleet_message hello;
-    hello.set_from(settings_.self.value);
-    hello.mutable_agreement()->set_chosen_index(
-        agreement_.chosen_index().value);
-    hello.mutable_agreement()->set_storage_id(
+    wire::agreement_message hello;
+    hello.set_chosen_index(agreement_.chosen_index().value);
+    hello.set_storage_id(
         agreement_.has_failed_storage() ? 0 : agreement_.storage().value);
-    effects_.emplace_back(send_to_control{request.to, std::move(hello)});
+    SendAgreement(request.to, std::move(hello));
   }
   if (held_.Tick(now_)) PushNews(true);
   const bool current = IsCurrent(now_);
@@ -264,19 +262,14 @@
   } else if (auto* rewrite = std::get_if<rewrite_records>(&effect)) {
     effects_.emplace_back(std::move(*rewrite));
   } else if (auto* send = std::get_if<send_agreement>(&effect)) {
-    wire::fleet_message message;
-    message.set_from(settings_.self.value);
-    *message.mutable_agreement() = std::move(send->message);
-    effects_.emplace_back(send_to_control{send->to, std::move(message)});
+    SendAgreement(send->to, std::move(send->message));
   } else if (auto* chosen = std::get_if<proposal_chosen>(&effect)) {
     Answer(chosen->id, order_done{.applied = chosen->index,
-                                  .version = published_.published().version,
-                                  .changed = true});
+                                  .version = published_.published().version});
   } else if (auto* refused = std::get_if<proposal_refused>(&effect)) {
     // It changes nothing in the newest state, which a majority confirmed.
     Answer(refused->id, order_done{.applied = agreement_.chosen_index(),
-                                   .version = published_.published().version,
-                                   .changed = false});
+                                   .version = published_.published().version});
   } else if (auto* late = std::get_if<proposal_timed_out>(&effect)) {
     Answer(late->id, order_unsure{"no majority answered in time"});
   } else if (auto* stuck = std::get_if<founding_stuck>(&effect)) {
@@ -284,6 +277,14 @@
   }
 }
 
+void control_instance::SendAgreement(const instance_name& to,
+                                     wire::agreement_message body) {
+  send_to_control effect{to, {}};
+  effect.message.set_from(settings_.self.value);
+  *effect.message.mutable_agreement() = std::move(body);
+  effects_.emplace_back(std::move(effect));
+}
+
 void control_instance::Answer(proposal_id id, const order_outcome& outcome) {
   auto it = calls_.find(id);
   if (it == calls_.end()) return;  // A change of the voters.
--- a/Source/Control/control_instance.h
+++ b/Source/Control/control_instance.h
@@ -71,7 +71,6 @@
 struct order_done {
   log_index applied;
   manifest_version version;  // The newest one.
-  bool changed = false;      // The order made an entry of its own.
 };
 // Another control instance can take it.
 struct order_redirected {
@@ -156,6 +155,7 @@
   void Handle(const storage_restored& event);
   void Agree(const agreement_event& event);
   void Carry(agreement_effect effect);
+  void SendAgreement(const instance_name& to, wire::agreement_message body);
   void Answer(proposal_id id, const order_outcome& outcome);
   std::optional<instance_name> FindVoter() const;
   void NotePublished();
--- a/Source/Control/follower_feed.cc
+++ b/Source/Control/follower_feed.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "Following/target_codec.h"
+#include "Forwarding/demand.h"
 
 namespace lavendertack {
 namespace {
@@ -17,8 +18,6 @@
 constexpr milliseconds kPushInterval{50};
 // Part by which a demand must have changed to be told anew.
 constexpr double kDemandChange = 0.15;
-// Requests a second that count as none.
-constexpr double kLeastDemand = 0.05;
 
 }  // namespace
 
--- a/Source/EventLog/event_log.cc
+++ b/Source/EventLog/event_log.cc
@@ -30,19 +30,19 @@
   Put(line.dump(-1, ' ', false, ordered_json::error_handler_t::replace) + "\n");
 }
 
-bool event_log::HasFlowBudget(instant now) {
+bool event_log::TakeFlowLine(instant now) {
   if (now - window_start_ >= seconds(1)) Tick(now);
-  return in_window_ < settings_.flow_lines_per_s;
-}
-
-void event_log::WriteFlow(instant now, std::string_view event,
-                          std::initializer_list<log_field> fields) {
-  if (!HasFlowBudget(now)) {
+  if (in_window_ >= settings_.flow_lines_per_s) {
     LeaveOut();
-    return;
+    return false;
   }
   ++in_window_;
-  Write(event, fields);
+  return true;
+}
+
+void event_log::LeaveOut() {
+  ++left_out_;
+  ++left_out_in_window_;
 }
 
 void event_log::Tick(instant now) {
--- a/Source/EventLog/event_log.h
+++ b/Source/EventLog/event_log.h
@@ -42,23 +42,17 @@
 
   // A change of what the process believes, or of its state.
   void Write(std::string_view event, std::initializer_list<log_field> fields);
-  // A decision on one flow; within the budget.
-  void WriteFlow(instant now, std::string_view event,
-                 std::initializer_list<log_field> fields);
-  // True when WriteFlow would write now, so that fields needn't be made.
-  bool HasFlowBudget(instant now);
+  // Takes one line on a single flow out of the budget; when there is none
+  // left, the line is counted as left out and its fields needn't be made.
+  bool TakeFlowLine(instant now);
   // Writes what is buffered and, once a second, what was left out.
   void Tick(instant now);
 
   std::uint64_t written() const { return written_; }
   std::uint64_t left_out() const { return left_out_; }
-  // Counts a decision that wasn't worth making fields for.
-  void LeaveOut() {
-    ++left_out_;
-    ++left_out_in_window_;
-  }
 
  private:
+  void LeaveOut();
   void Put(const std::string& line);
   void Flush();
 
--- a/Source/Following/control_follower.cc
+++ b/Source/Following/control_follower.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "Following/target_codec.h"
+#include "Forwarding/demand.h"
 
 namespace lavendertack {
 namespace {
@@ -27,8 +28,6 @@
 constexpr milliseconds kFindInterval{100};
 // So many of them, and then no more often than one that answers.
 constexpr int kFindTries = 30;
-// Requests a second that aren't worth telling.
-constexpr double kLeastDemand = 0.05;
 // Most control instances that are followed.
 constexpr std::size_t kMaxControls = 16;
 
@@ -149,7 +148,10 @@
   if (update.targets_from() > control.target_revision) return;
   for (const wire::target_record& record : update.targets()) {
     auto report = DecodeTarget(record);
-    if (!report) continue;
+    if (!report) {
+      notes->emplace_back(record_refused{from, {record.id()}});
+      continue;
+    }
     if (auto change = state_.targets.Apply(now, from, *report)) {
       notes->emplace_back(*std::move(change));
     }
--- a/Source/Following/control_follower.h
+++ b/Source/Following/control_follower.h
@@ -62,8 +62,13 @@
   std::size_t route_changes;
   bool whole;
 };
-using follower_note =
-    std::variant<control_found, control_lost, state_followed, target_change>;
+// A record about a target that no instance of this version writes.
+struct record_refused {
+  instance_name from;
+  target_id target;
+};
+using follower_note = std::variant<control_found, control_lost, state_followed,
+                                   target_change, record_refused>;
 
 struct follow_request {
   instance_name to;
--- a/Source/Forwarding/demand.cc
+++ b/Source/Forwarding/demand.cc
@@ -1,7 +1,6 @@
 #include "Forwarding/demand.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace lavendertack {
 namespace {
@@ -9,30 +8,23 @@
 // Requests of so long ago count 1/e.
 constexpr milliseconds kWindow{3000};
 
-double Decay(microseconds since) {
-  return std::exp(-static_cast<double>(since.count()) /
-                  static_cast<double>(microseconds(kWindow).count()));
-}
-
 }  // namespace
 
 void demand_meter::Count(instant now, const service_name& service) {
-  meter& one = meters_[service];
-  one.recent = one.recent * Decay(now - one.updated) + 1;
-  one.updated = now;
+  counts_.try_emplace(service, kWindow).first->second.Add(now, 1);
 }
 
 requests_per_s demand_meter::Rate(instant now,
                                   const service_name& service) const {
-  auto it = meters_.find(service);
-  if (it == meters_.end()) return 0;
+  auto it = counts_.find(service);
+  if (it == counts_.end()) return 0;
   const double window_s = std::chrono::duration<double>(kWindow).count();
-  return it->second.recent * Decay(now - it->second.updated) / window_s;
+  return it->second.At(now) / window_s;
 }
 
 std::map<service_name, requests_per_s> demand_meter::Rates(instant now) const {
   std::map<service_name, requests_per_s> rates;
-  for (const auto& [service, one] : meters_) {
+  for (const auto& [service, count] : counts_) {
     rates[service] = Rate(now, service);
   }
   return rates;
--- a/Source/Forwarding/demand.h
+++ b/Source/Forwarding/demand.h
@@ -12,11 +12,15 @@
 
 #include "Common/instant.h"
 #include "Common/strong_type.h"
+#include "Forwarding/decayed_count.h"
 
 namespace lavendertack {
 
 using requests_per_s = double;
 
+// A demand below it counts as none, and isn't worth telling.
+constexpr requests_per_s kLeastDemand = 0.05;
+
 // Requests a second for each service, over the last seconds.
 class demand_meter {
  public:
@@ -25,11 +29,7 @@
   std::map<service_name, requests_per_s> Rates(instant now) const;
 
  private:
-  struct meter {
-    double recent = 0;  // Decayed count.
-    instant updated;
-  };
-  std::unordered_map<service_name, meter> meters_;
+  std::unordered_map<service_name, decayed_count> counts_;
 };
 
 // One data centre's part in a service.
--- a/Source/Forwarding/flow_router.cc
+++ b/Source/Forwarding/flow_router.cc
@@ -70,7 +70,7 @@
   target_tag unanswered;
   service_name service;
   if (auto earlier = attempts_.Take(packet.flow)) {
-    load_.AddPending(earlier->tag, -1);
+    load_.AddPending(now, earlier->tag, -1);
     if (packet.copy > 0) {
       unanswered = earlier->tag;
       load_.Unanswered(now, unanswered);
@@ -86,7 +86,7 @@
   const known_target* target = PickTarget(now, service, unanswered);
   if (target == nullptr) return reset_caller{forward_reason::kNoTarget};
   load_.Opened(now, target->tag);
-  load_.AddPending(target->tag, 1);
+  load_.AddPending(now, target->tag, 1);
   attempts_.Remember(packet.flow, {target->tag, service, now});
   return forward_to_target{target, unanswered.value == 0
                                        ? forward_reason::kOpened
@@ -99,7 +99,7 @@
   }
   if (packet.tag.value == 0) return drop_packet{forward_reason::kNoTag};
   if (auto attempt = attempts_.Take(packet.flow)) {
-    load_.AddPending(attempt->tag, -1);
+    load_.AddPending(now, attempt->tag, -1);
     load_.Answered(packet.tag);
     answer_latency_.Count(now - attempt->sent);
   }
@@ -145,7 +145,7 @@
     }
   }
   // When most are silent, it's rather their reports that are lost.
-  if (candidates_.size() < silent_.size() || candidates_.empty()) {
+  if (candidates_.size() < silent_.size()) {
     candidates_.insert(candidates_.end(), silent_.begin(), silent_.end());
   }
   if (candidates_.empty()) candidates_ = suspects_;
@@ -188,9 +188,10 @@
 }
 
 void flow_router::Tick(instant now) {
-  attempts_.Expire(now - kAttemptLifetime, [this](const open_attempt& lost) {
-    load_.AddPending(lost.tag, -1);
-  });
+  attempts_.Expire(now - kAttemptLifetime,
+                   [this, now](const open_attempt& lost) {
+                     load_.AddPending(now, lost.tag, -1);
+                   });
   load_.Forget(now);
 }
 
--- a/Source/Forwarding/flow_router.h
+++ b/Source/Forwarding/flow_router.h
@@ -49,7 +49,6 @@
 
   // The baseline in tests: another choice than the one by load.
   void set_choice(choose_target choice) { choice_ = std::move(choice); }
-  const target_load& load() const { return load_; }
   const demand_meter& demand() const { return demand_; }
   // From a connection's first packet to its caller's next one.
   const latency_histogram& answer_latency() const { return answer_latency_; }
--- a/Source/Forwarding/open_attempts.cc
+++ b/Source/Forwarding/open_attempts.cc
@@ -4,11 +4,6 @@
 
 namespace lavendertack {
 
-const open_attempt* open_attempts::Find(const flow_key& flow) const {
-  auto it = attempts_.find(flow);
-  return it == attempts_.end() ? nullptr : &it->second;
-}
-
 void open_attempts::Remember(const flow_key& flow, open_attempt attempt) {
   by_time_.emplace_back(attempt.sent, flow);
   attempts_[flow] = std::move(attempt);
--- a/Source/Forwarding/open_attempts.h
+++ b/Source/Forwarding/open_attempts.h
@@ -24,7 +24,6 @@
  public:
   explicit open_attempts(std::size_t capacity) : capacity_(capacity) {}
 
-  const open_attempt* Find(const flow_key& flow) const;
   // Puts the attempt in place of an earlier one of the flow.
   void Remember(const flow_key& flow, open_attempt attempt);
   std::optional<open_attempt> Take(const flow_key& flow);
--- a/Source/Forwarding/target_load.cc
+++ b/Source/Forwarding/target_load.cc
@@ -1,7 +1,6 @@
 #include "Forwarding/target_load.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace lavendertack {
 namespace {
@@ -16,30 +15,29 @@
 constexpr milliseconds kFirstSuspicion{1000};
 constexpr milliseconds kLongestSuspicion{8000};
 
-double Decay(microseconds since) {
-  return std::exp(-static_cast<double>(since.count()) /
-                  static_cast<double>(microseconds(kLoadWindow).count()));
-}
-
 }  // namespace
 
-void target_load::Add(instant now, target_tag tag, double amount) {
-  state& target = states_[tag];
-  target.recent = target.recent * Decay(now - target.updated) + amount;
-  target.updated = now;
+target_load::state& target_load::Touch(instant now, target_tag tag) {
+  auto [it, added] =
+      states_.try_emplace(tag, state{.recent = decayed_count(kLoadWindow)});
+  it->second.touched = now;
+  return it->second;
+}
+
+void target_load::AddRequest(instant now, target_tag tag) {
+  Touch(now, tag).recent.Add(now, 1.0);
 }
 
-void target_load::Opened(instant now, target_tag tag) { Add(now, tag, 1.0); }
+void target_load::Opened(instant now, target_tag tag) { AddRequest(now, tag); }
 
-void target_load::Carried(instant now, target_tag tag) { Add(now, tag, 1.0); }
+void target_load::Carried(instant now, target_tag tag) { AddRequest(now, tag); }
 
 void target_load::Unanswered(instant now, target_tag tag) {
-  state& target = states_[tag];
+  state& target = Touch(now, tag);
   const auto doubled = kFirstSuspicion * (1 << std::min(target.unanswered, 3U));
   target.suspect_until =
       now + std::min<milliseconds>(doubled, kLongestSuspicion);
   ++target.unanswered;
-  target.updated = std::max(target.updated, now);
 }
 
 void target_load::Answered(target_tag tag) {
@@ -49,14 +47,14 @@
   it->second.suspect_until = {};
 }
 
-void target_load::AddPending(target_tag tag, int change) {
-  states_[tag].pending += change;
+void target_load::AddPending(instant now, target_tag tag, int change) {
+  Touch(now, tag).pending += change;
 }
 
 double target_load::Recent(instant now, target_tag tag) const {
   auto it = states_.find(tag);
   if (it == states_.end()) return 0;
-  return it->second.recent * Decay(now - it->second.updated);
+  return it->second.recent.At(now);
 }
 
 bool target_load::IsSuspect(instant now, target_tag tag) const {
@@ -69,7 +67,7 @@
 void target_load::Forget(instant now) {
   std::erase_if(states_, [now](const auto& entry) {
     return entry.second.pending == 0 &&
-           now - entry.second.updated > kForgetAfter;
+           now - entry.second.touched > kForgetAfter;
   });
 }
 
--- a/Source/Forwarding/target_load.h
+++ b/Source/Forwarding/target_load.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 
 #include "Common/instant.h"
+#include "Forwarding/decayed_count.h"
 #include "Targets/target_view.h"
 
 namespace lavendertack {
@@ -26,7 +27,7 @@
   // A caller goes on with a connection that the target has accepted.
   void Answered(target_tag tag);
   // An opening packet went out without outcome so far, or has one now.
-  void AddPending(target_tag tag, int change);
+  void AddPending(instant now, target_tag tag, int change);
 
   // Requests lately sent to it from here; older ones count less.
   double Recent(instant now, target_tag tag) const;
@@ -38,14 +39,15 @@
 
  private:
   struct state {
-    double recent = 0;
-    instant updated;
+    decayed_count recent;          // Requests.
+    instant touched;               // By any packet.
     std::uint32_t unanswered = 0;  // In a row.
     instant suspect_until;
     int pending = 0;
   };
 
-  void Add(instant now, target_tag tag, double amount);
+  state& Touch(instant now, target_tag tag);
+  void AddRequest(instant now, target_tag tag);
 
   std::unordered_map<target_tag, state> states_;
 };
--- a/Source/Runtime/control_loop.cc
+++ b/Source/Runtime/control_loop.cc
@@ -83,18 +83,14 @@
         [this](http_request request) {
           return calls_.Ask(std::move(request));
         });
-    const ipv4_endpoint query_address{settings_.self, settings_.metrics_port};
-    if (auto reason = queries_.Open(query_address)) {
-      log_.Write("metrics_not_served",
-                 {{"address", ToString(query_address)}, {"reason", *reason}});
-    }
+    OpenQueries(&queries_, settings_, &log_);
     return std::nullopt;
   }
 
   void Run() {
     next_tick_ = Now();
     while (signals_->stop == 0) {
-      Poll();
+      links_.Wait({wake_file_, queries_.file()}, next_tick_);
       links_.Receive(Now(), [this](const link_id& link, auto message) {
         Dispatch(control_message{link, std::move(message)});
       });
@@ -179,20 +175,12 @@
     }
     for (const std::string& bytes : std::get<opened_log>(opened).records) {
       wire::target_snapshot saved;
-      if (saved.ParseFromString(bytes)) control_->Restore(Now(), saved);
-    }
-  }
-
-  void Poll() {
-    std::vector<zmq::pollitem_t> items = links_.PollItems();
-    items.push_back({nullptr, wake_file_, ZMQ_POLLIN, 0});
-    items.push_back({nullptr, queries_.file(), ZMQ_POLLIN, 0});
-    const auto wait = std::max(
-        milliseconds(0), std::chrono::ceil<milliseconds>(next_tick_ - Now()));
-    try {
-      zmq::poll(items.data(), items.size(), wait);
-    } catch (const zmq::error_t& error) {
-      if (error.num() != EINTR) throw;
+      if (saved.ParseFromString(bytes)) {
+        control_->Restore(Now(), saved);
+      } else {
+        log_.Write("targets_not_restored",
+                   {{"file", TargetsPath()}, {"reason", "unreadable record"}});
+      }
     }
   }
 
@@ -360,7 +348,11 @@
                {{"file", error->path}, {"reason", error->reason}});
     // A log that failed takes nothing until it's opened anew.
     saved_targets_ = record_log();
-    saved_targets_.Open(TargetsPath());
+    auto opened = saved_targets_.Open(TargetsPath());
+    if (const auto* again = std::get_if<storage_error>(&opened)) {
+      log_.Write("targets_not_saved",
+                 {{"file", again->path}, {"reason", again->reason}});
+    }
   }
   void Carry(const majority_changed& effect) {
     log_.Write("majority", {{"heard", effect.heard}});
--- a/Source/Runtime/entry_loop.cc
+++ b/Source/Runtime/entry_loop.cc
@@ -67,11 +67,7 @@
           }
           return adapter_.calls.answer_readiness(ready_);
         });
-    const ipv4_endpoint query_address{settings_.self, settings_.metrics_port};
-    if (auto reason = queries_.Open(query_address)) {
-      log_.Write("metrics_not_served",
-                 {{"address", ToString(query_address)}, {"reason", *reason}});
-    }
+    OpenQueries(&queries_, settings_, &log_);
     log_.Write("started",
                {{"role", "entry"},
                 {"packets", ToString(addresses.packets)},
@@ -83,7 +79,7 @@
   void Run() {
     next_tick_ = Now();
     while (!entry_.IsOver(Now())) {
-      Poll();
+      links_.Wait({packets_.file(), queries_.file()}, next_tick_);
       bool more = true;
       for (int i = 0; more && i < kBatchesPerTurn; ++i) {
         more = packets_.Receive(
@@ -107,19 +103,6 @@
   }
 
  private:
-  void Poll() {
-    std::vector<zmq::pollitem_t> items = links_.PollItems();
-    items.push_back({nullptr, packets_.file(), ZMQ_POLLIN, 0});
-    items.push_back({nullptr, queries_.file(), ZMQ_POLLIN, 0});
-    const auto wait = std::max(
-        milliseconds(0), std::chrono::ceil<milliseconds>(next_tick_ - Now()));
-    try {
-      zmq::poll(items.data(), items.size(), wait);
-    } catch (const zmq::error_t& error) {
-      if (error.num() != EINTR) throw;
-    }
-  }
-
   void Tick() {
     const instant now = Now();
     next_tick_ = now + kTickInterval;
@@ -170,7 +153,12 @@
           .packets[std::visit([](const auto& v) { return v.reason; }, verdict)];
     if (const auto* forward = std::get_if<forward_to_target>(&verdict)) {
       auto prefix = adapter_.packets.prefix(forward->target->report.id);
-      if (!prefix) return;
+      if (!prefix) {
+        ++counts_.unaddressable;
+        Log(now, *packet, "target_not_addressable", forward->reason,
+            forward->target);
+        return;
+      }
       if (packet->opens) {
         adapter_.packets.write_tag(bytes, forward->target->tag);
       }
@@ -190,26 +178,21 @@
 
   void Log(instant now, const flow_packet& packet, std::string_view event,
            forward_reason reason, const known_target* target) {
-    if (!log_.HasFlowBudget(now)) {
-      log_.LeaveOut();
-      return;
-    }
+    if (!log_.TakeFlowLine(now)) return;
     const std::string_view target_id =
         target == nullptr ? std::string_view() : target->report.id.value;
     const target_tag tag = target == nullptr ? packet.tag : target->tag;
-    log_.WriteFlow(
-        now, event,
-        {{"caller", ToString(packet.flow.caller)},
-         {"route", ToString(packet.flow.route)},
-         {"sequence", static_cast<std::int64_t>(packet.sequence)},
-         {"copy", static_cast<std::int64_t>(packet.copy)},
-         {"tag", static_cast<std::int64_t>(tag.value)},
-         {"reason", ToString(reason)},
-         {"target", target_id},
-         {"manifest",
-          static_cast<std::int64_t>(entry_.follower().version().value)},
-         {"entry",
-          static_cast<std::int64_t>(entry_.follower().applied().value)}});
+    log_.Write(event, {{"caller", ToString(packet.flow.caller)},
+                       {"route", ToString(packet.flow.route)},
+                       {"sequence", static_cast<std::int64_t>(packet.sequence)},
+                       {"copy", static_cast<std::int64_t>(packet.copy)},
+                       {"tag", static_cast<std::int64_t>(tag.value)},
+                       {"reason", ToString(reason)},
+                       {"target", target_id},
+                       {"manifest", static_cast<std::int64_t>(
+                                        entry_.follower().version().value)},
+                       {"entry", static_cast<std::int64_t>(
+                                     entry_.follower().applied().value)}});
   }
 
   const fleet_settings& settings_;
--- a/Source/Runtime/fleet_links.cc
+++ b/Source/Runtime/fleet_links.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Runtime/process_time.h"
+
 namespace lavendertack {
 namespace {
 
@@ -130,13 +132,20 @@
   }
 }
 
-std::vector<zmq::pollitem_t> fleet_links::PollItems() {
+void fleet_links::Wait(std::initializer_list<int> files, instant until) {
   std::vector<zmq::pollitem_t> items;
   if (listener_) items.push_back({*listener_, 0, ZMQ_POLLIN, 0});
   for (auto& [name, link] : connections_) {
     items.push_back({link.socket, 0, ZMQ_POLLIN, 0});
   }
-  return items;
+  for (const int file : files) items.push_back({nullptr, file, ZMQ_POLLIN, 0});
+  const auto wait =
+      std::max(milliseconds(0), std::chrono::ceil<milliseconds>(until - Now()));
+  try {
+    zmq::poll(items.data(), items.size(), wait);
+  } catch (const zmq::error_t& error) {
+    if (error.num() != EINTR) throw;
+  }
 }
 
 }  // namespace lavendertack
--- a/Source/Runtime/fleet_links.h
+++ b/Source/Runtime/fleet_links.h
@@ -5,6 +5,7 @@
 #define LAVENDERTACK_RUNTIME_FLEET_LINKS_H_
 
 #include <functional>
+#include <initializer_list>
 #include <map>
 #include <optional>
 #include <set>
@@ -38,8 +39,8 @@
   // instances that aren't among `controls`.
   void Tick(instant now, const std::set<instance_name>& controls);
 
-  // For the poll of the loop.
-  std::vector<zmq::pollitem_t> PollItems();
+  // Returns when a message waits, one of `files` can be read, or at `until`.
+  void Wait(std::initializer_list<int> files, instant until);
 
   std::uint64_t sent_bytes() const { return sent_bytes_; }
   std::uint64_t received_bytes() const { return received_bytes_; }
--- a/Source/Runtime/fleet_process.cc
+++ b/Source/Runtime/fleet_process.cc
@@ -61,6 +61,15 @@
                    StandardOutput(), UnixMilliseconds);
 }
 
+void OpenQueries(query_port* queries, const fleet_settings& settings,
+                 event_log* log) {
+  const ipv4_endpoint address{settings.self, settings.metrics_port};
+  if (auto reason = queries->Open(address)) {
+    log->Write("metrics_not_served",
+               {{"address", ToString(address)}, {"reason", *reason}});
+  }
+}
+
 instance_name ControlName(ipv4_address ip) { return {ToString(ip)}; }
 
 std::vector<instance_name> ControlNames(const std::vector<ipv4_address>& ips) {
@@ -90,6 +99,9 @@
                 {"control", target->source.value},
                 {"started_ms", Signed(target->age.started_ms)},
                 {"sequence", Signed(target->age.sequence)}});
+  } else if (const auto* refused = std::get_if<record_refused>(&note)) {
+    log->Write("target_record_refused", {{"control", refused->from.value},
+                                         {"target", refused->target.value}});
   }
 }
 
--- a/Source/Runtime/fleet_process.h
+++ b/Source/Runtime/fleet_process.h
@@ -11,6 +11,7 @@
 #include "EventLog/event_log.h"
 #include "Following/control_follower.h"
 #include "Runtime/fleet_adapter.h"
+#include "Runtime/query_port.h"
 
 namespace lavendertack {
 
@@ -49,6 +50,10 @@
 
 event_log MakeEventLog(const fleet_settings& settings);
 
+// A process goes on without its query port; the log says why.
+void OpenQueries(query_port* queries, const fleet_settings& settings,
+                 event_log* log);
+
 // Names of control instances: their addresses.
 instance_name ControlName(ipv4_address ip);
 std::vector<instance_name> ControlNames(const std::vector<ipv4_address>& ips);
--- a/Source/Runtime/fleet_queries.cc
+++ b/Source/Runtime/fleet_queries.cc
@@ -66,6 +66,9 @@
   for (const auto& [reason, count] : view.counts.packets) {
     out.Sample(Label("reason", ToString(reason)), count);
   }
+  out.Single("packets_unaddressable_total", "counter",
+             "Packets for a target whose id the packet format can't hold.",
+             view.counts.unaddressable);
   out.Single("packets_malformed_total", "counter",
              "Datagrams that are no packet.", view.counts.malformed);
   out.Single("packets_unsent_total", "counter",
--- a/Source/Runtime/fleet_queries.h
+++ b/Source/Runtime/fleet_queries.h
@@ -20,6 +20,7 @@
 struct entry_counts {
   std::map<forward_reason, std::uint64_t> packets;
   std::uint64_t malformed = 0;
+  std::uint64_t unaddressable = 0;  // The target's id is no number.
   std::uint64_t unsent = 0;
 };
 
--- a/Source/UnitTests/EventLog/event_log_test.cc
+++ b/Source/UnitTests/EventLog/event_log_test.cc
@@ -57,7 +57,9 @@
   }
   SECTION("lines about flows have a budget, and the rest is counted") {
     log.Tick(now);
-    for (int i = 0; i < 10; ++i) log.WriteFlow(now, "flow", {{"n", i}});
+    for (int i = 0; i < 10; ++i) {
+      if (log.TakeFlowLine(now)) log.Write("flow", {{"n", i}});
+    }
     log.Write("target_changed", {});
     log.Tick(now + seconds(1));
     const auto lines = out.Lines();
@@ -65,7 +67,8 @@
     REQUIRE(lines[3]["event"] == "target_changed");
     REQUIRE(lines[4]["event"] == "lines_left_out");
     REQUIRE(lines[4]["count"] == 7);
-    log.WriteFlow(now + seconds(1), "flow", {});
+    REQUIRE(log.TakeFlowLine(now + seconds(1)));
+    log.Write("flow", {});
     log.Tick(now + seconds(1));
     REQUIRE(out.Lines().size() == 6);
   }
--- a/Source/UnitTests/Following/control_follower_test.cc
+++ b/Source/UnitTests/Following/control_follower_test.cc
@@ -118,6 +118,22 @@
             target_phase::kDraining);
     REQUIRE(x.feed.Push(now + seconds(1), x.Content(), false).empty());
   }
+  SECTION("and says which record of a target it couldn't read") {
+    wire::update update;
+    update.set_target_epoch(x.epoch);
+    update.set_targets_from(0);
+    update.set_targets_to(9);
+    auto* record = update.add_targets();
+    record->set_id("i-2");
+    record->set_phase(wire::PHASE_READY);
+    record->set_port(70'000);
+    const auto notes = follower.Apply(now, kX, update);
+    REQUIRE(notes.size() == 1);
+    const auto* refused = std::get_if<record_refused>(&notes.front());
+    REQUIRE(refused != nullptr);
+    REQUIRE(refused->target == target_id{"i-2"});
+    REQUIRE(follower.state().targets.size() == 1);
+  }
   SECTION("and asks one that doesn't answer more often") {
     follower.Requests(now + kInterval, {});
     const auto again =
