--- a/Source/Entry/entry_instance.cc
+++ b/Source/Entry/entry_instance.cc
@@ -22,7 +22,10 @@
                  .is_control = false,
                  .seeds = settings_.seeds,
                  .follow_interval = kFollowInterval}),
-      router_(&follower_.state(), settings_.data_centre, settings_.seed) {}
+      router_(&follower_.state(), settings_.data_centre, settings_.seed) {
+  if (settings_.choose) router_.set_choice(settings_.choose);
+  if (settings_.refuse) router_.set_refusal(settings_.refuse);
+}
 
 forward_verdict entry_instance::Route(instant now, const flow_packet& packet) {
   last_packet_ = now;
--- a/Source/Entry/entry_instance.h
+++ b/Source/Entry/entry_instance.h
@@ -19,6 +19,9 @@
   std::uint64_t seed = 0;
   // From the request to stop until the process is killed.
   milliseconds stop_within{0};
+  // Other choices than the product's, for comparisons.
+  choose_target choose = {};
+  refuse_part refuse = {};
 };
 
 class entry_instance {
--- a/Source/Following/control_follower.cc
+++ b/Source/Following/control_follower.cc
@@ -105,6 +105,7 @@
         state_.routes[at] = DecodeRoute(record);
       }
     }
+    state_.priorities = PrioritiesOf(state_.routes);
     applied_ = to_index;
     version_ = {update.manifest_version()};
     cold_start_ = milliseconds(update.cold_start_ms());
--- a/Source/Forwarding/demand.cc
+++ b/Source/Forwarding/demand.cc
@@ -3,22 +3,16 @@
 #include <algorithm>
 
 namespace lavendertack {
-namespace {
-
-// Requests of so long ago count 1/e.
-constexpr milliseconds kWindow{3000};
-
-}  // namespace
 
 void demand_meter::Count(instant now, const service_name& service) {
-  counts_.try_emplace(service, kWindow).first->second.Add(now, 1);
+  counts_.try_emplace(service, window_).first->second.Add(now, 1);
 }
 
 requests_per_s demand_meter::Rate(instant now,
                                   const service_name& service) const {
   auto it = counts_.find(service);
   if (it == counts_.end()) return 0;
-  const double window_s = std::chrono::duration<double>(kWindow).count();
+  const double window_s = std::chrono::duration<double>(window_).count();
   return it->second.At(now) / window_s;
 }
 
--- a/Source/Forwarding/demand.h
+++ b/Source/Forwarding/demand.h
@@ -24,11 +24,13 @@
 // Requests a second for each service, over the last seconds.
 class demand_meter {
  public:
+  explicit demand_meter(milliseconds window) : window_(window) {}
   void Count(instant now, const service_name& service);
   requests_per_s Rate(instant now, const service_name& service) const;
   std::map<service_name, requests_per_s> Rates(instant now) const;
 
  private:
+  milliseconds window_;
   std::unordered_map<service_name, decayed_count> counts_;
 };
 
--- a/Source/Forwarding/flow_router.cc
+++ b/Source/Forwarding/flow_router.cc
@@ -18,6 +18,19 @@
 // Load of a slot in the own data centre, over the mean of all, up to which new
 // flows stay there.
 constexpr double kLocalSlack = 1.3;
+// Ticks come several times as often, unless the process is suspended.
+constexpr milliseconds kSuspended{250};
+// What is told to others changes slowly; what is refused follows what passes
+// here right now.
+constexpr milliseconds kDemandWindow{3000};
+constexpr milliseconds kLastDemandWindow{500};
+// More is taken for what it looks like after a start or a pause of this
+// instance, when the longer window is nearly empty.
+constexpr double kMostGrowth = 1.5;
+
+double SlotsOf(const known_target& target) {
+  return std::max<std::uint32_t>(1, target.report.slots);
+}
 
 }  // namespace
 
@@ -33,6 +46,8 @@
       return "no_route";
     case forward_reason::kNoTarget:
       return "no_target";
+    case forward_reason::kOverloaded:
+      return "overloaded";
     case forward_reason::kTargetOver:
       return "target_over";
     case forward_reason::kNotYetCurrent:
@@ -50,6 +65,8 @@
     : state_(state),
       own_(std::move(own)),
       random_(seed),
+      demand_(kDemandWindow),
+      last_demand_(kLastDemandWindow),
       attempts_(kMaxAttempts) {
   choice_ = [this](instant now,
                    const std::vector<const known_target*>& candidates) {
@@ -59,6 +76,8 @@
 
 forward_verdict flow_router::Route(instant now, const flow_packet& packet) {
   if (!state_->has_manifest) return drop_packet{forward_reason::kNotYetCurrent};
+  // What waited here meanwhile tells nothing about the targets.
+  if (now - last_tick_ > kSuspended) answer_times_.Restart();
   return packet.opens ? Open(now, packet) : Follow(now, packet);
 }
 
@@ -83,8 +102,13 @@
         return share.service == service && share.weight > 0;
       });
   if (!is_allowed) service = PickService(found->second);
-  const known_target* target = PickTarget(now, service, unanswered);
-  if (target == nullptr) return reset_caller{forward_reason::kNoTarget};
+  FindCandidates(now, service, unanswered);
+  if (candidates_.empty()) return reset_caller{forward_reason::kNoTarget};
+  if (auto pressure = MustRefuse(now, service, found->second.priority)) {
+    return reset_caller{forward_reason::kOverloaded, *pressure};
+  }
+  KeepDataCentre(service);
+  const known_target* target = choice_(now, candidates_);
   load_.Opened(now, target->tag);
   load_.AddPending(now, target->tag, 1);
   attempts_.Remember(packet.flow, {target->tag, service, now});
@@ -102,15 +126,19 @@
     load_.AddPending(now, attempt->tag, -1);
     load_.Answered(packet.tag);
     answer_latency_.Count(now - attempt->sent);
+    answer_times_.Accepted(
+        std::chrono::duration_cast<microseconds>(now - attempt->sent));
   }
   const known_target* target = state_->targets.FindByTag(packet.tag);
   if (target == nullptr) return drop_packet{forward_reason::kUnknownTag};
   if (target->IsOver() && now - target->changed > kEndingTime) {
     return reset_caller{forward_reason::kTargetOver};
   }
+  answer_times_.Passed(now, packet, target->report.service);
   if (packet.data_bytes > 0) {
     load_.Carried(now, packet.tag);
     demand_.Count(now, target->report.service);
+    last_demand_.Count(now, target->report.service);
   }
   return forward_to_target{target, forward_reason::kFollows};
 }
@@ -127,15 +155,16 @@
   return wanted.shares.back().service;
 }
 
-const known_target* flow_router::PickTarget(instant now,
-                                            const service_name& service,
-                                            target_tag unanswered) {
+void flow_router::FindCandidates(instant now, const service_name& service,
+                                 target_tag unanswered) {
   candidates_.clear();
   silent_.clear();
   suspects_.clear();
+  open_slots_ = 0;
   for (const known_target* target : state_->targets.OfService(service)) {
     if (!target->IsOpen(now)) continue;
     if (state_->closed.contains(target->report.data_centre)) continue;
+    open_slots_ += SlotsOf(*target);
     const bool avoid =
         target->tag == unanswered || load_.IsSuspect(now, target->tag);
     if (avoid) {
@@ -149,17 +178,47 @@
     candidates_.insert(candidates_.end(), silent_.begin(), silent_.end());
   }
   if (candidates_.empty()) candidates_ = suspects_;
-  if (candidates_.empty()) return nullptr;
-  KeepDataCentre(service);
-  return choice_(now, candidates_);
+}
+
+slot_pressure flow_router::Pressure(instant now, const service_name& service,
+                                    double slots) const {
+  const auto typical = answer_times_.Typical(service);
+  if (!typical) return 0;
+  requests_per_s demand = 0;
+  if (auto it = state_->demand.find(service); it != state_->demand.end()) {
+    for (const auto& [name, rate] : it->second) demand += rate;
+  }
+  // All are taken to grow and fall as what passes here.
+  const requests_per_s mine = demand_.Rate(now, service);
+  const requests_per_s last = last_demand_.Rate(now, service);
+  if (mine > kLeastDemand) {
+    demand = std::max(demand, mine) * std::min(last / mine, kMostGrowth);
+  }
+  return PressureOf(demand, *typical, slots);
+}
+
+std::optional<slot_pressure> flow_router::MustRefuse(
+    instant now, const service_name& service, std::uint32_t priority) {
+  auto it = state_->priorities.find(service);
+  if (it == state_->priorities.end() || it->second.size() < 2) {
+    return std::nullopt;
+  }
+  const slot_pressure pressure = Pressure(now, service, open_slots_);
+  const double level =
+      refusals_[service].Move(now, pressure, it->second.size() - 1);
+  const double part = refusal_(level, priority, it->second);
+  if (part <= 0) return std::nullopt;
+  if (std::uniform_real_distribution<double>(0, 1)(random_) >= part) {
+    return std::nullopt;
+  }
+  return pressure;
 }
 
 // Leaves the candidates of one data centre, drawn by the split of the demand.
 void flow_router::KeepDataCentre(const service_name& service) {
   load_by_data_centre loads;
   for (const known_target* target : candidates_) {
-    loads[target->report.data_centre].slots +=
-        std::max<std::uint32_t>(1, target->report.slots);
+    loads[target->report.data_centre].slots += SlotsOf(*target);
   }
   if (auto it = state_->demand.find(service); it != state_->demand.end()) {
     for (const auto& [name, rate] : it->second) loads[name].demand = rate;
@@ -188,6 +247,7 @@
 }
 
 void flow_router::Tick(instant now) {
+  last_tick_ = now;
   attempts_.Expire(now - kAttemptLifetime,
                    [this, now](const open_attempt& lost) {
                      load_.AddPending(now, lost.tag, -1);
--- a/Source/Forwarding/flow_router.h
+++ b/Source/Forwarding/flow_router.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <random>
 #include <set>
 #include <unordered_map>
@@ -13,8 +14,10 @@
 
 #include "Common/instant.h"
 #include "Common/latency_histogram.h"
+#include "Forwarding/answer_times.h"
 #include "Forwarding/demand.h"
 #include "Forwarding/open_attempts.h"
+#include "Forwarding/overload.h"
 #include "Forwarding/packet.h"
 #include "Forwarding/target_load.h"
 #include "Manifest/manifest.h"
@@ -31,12 +34,18 @@
   // Of all entry instances, by service.
   std::unordered_map<service_name, std::map<data_centre_name, requests_per_s>>
       demand;
+  service_priorities priorities;  // Of `routes`.
 };
 
 // Which of the candidates gets a new flow; there is at least one.
 using choose_target = std::function<const known_target*(
     instant now, const std::vector<const known_target*>& candidates)>;
 
+// Part of the new flows that is refused; see RefusedPart.
+using refuse_part =
+    std::function<double(slot_pressure pressure, std::uint32_t priority,
+                         const std::set<std::uint32_t>& priorities)>;
+
 class flow_router {
  public:
   // `state` must outlive the router.
@@ -49,6 +58,15 @@
 
   // The baseline in tests: another choice than the one by load.
   void set_choice(choose_target choice) { choice_ = std::move(choice); }
+  // The baseline in tests: none is refused for load.
+  void set_refusal(refuse_part refusal) { refusal_ = std::move(refusal); }
+  // Of a service, over all entry instances. 0 while it isn't known.
+  slot_pressure Pressure(instant now, const service_name& service,
+                         double slots) const;
+  // What is refused for load, of the services where something may be.
+  const std::unordered_map<service_name, refusal_level>& refusals() const {
+    return refusals_;
+  }
   const demand_meter& demand() const { return demand_; }
   // From a connection's first packet to its caller's next one.
   const latency_histogram& answer_latency() const { return answer_latency_; }
@@ -57,8 +75,12 @@
   forward_verdict Open(instant now, const flow_packet& packet);
   forward_verdict Follow(instant now, const flow_packet& packet);
   const service_name& PickService(const route& wanted);
-  const known_target* PickTarget(instant now, const service_name& service,
-                                 target_tag unanswered);
+  void FindCandidates(instant now, const service_name& service,
+                      target_tag unanswered);
+  // What is refused for load: the pressure that decided it.
+  std::optional<slot_pressure> MustRefuse(instant now,
+                                          const service_name& service,
+                                          std::uint32_t priority);
   void KeepDataCentre(const service_name& service);
   const known_target* LeastLoaded(
       instant now, const std::vector<const known_target*>& candidates);
@@ -67,14 +89,22 @@
   data_centre_name own_;
   std::mt19937_64 random_;
   demand_meter demand_;
+  demand_meter last_demand_;  // Of the last moment only.
+  std::unordered_map<service_name, refusal_level> refusals_;
   latency_histogram answer_latency_;
   target_load load_;
   open_attempts attempts_;
+  answer_times answer_times_;
+  instant last_tick_;
   choose_target choice_;
-  // Reused by PickTarget.
+  refuse_part refusal_ = RefusedPart;
+  // Reused by FindCandidates.
   std::vector<const known_target*> candidates_;
   std::vector<const known_target*> silent_;
   std::vector<const known_target*> suspects_;
+  // Of all targets that may be open, silent ones too: the demand that is told
+  // includes that of data centres that are out of touch.
+  double open_slots_ = 0;
 };
 
 }  // namespace lavendertack
--- a/Source/Forwarding/packet.h
+++ b/Source/Forwarding/packet.h
@@ -35,6 +35,7 @@
   kFollows,      // Belongs to a connection.
   kNoRoute,
   kNoTarget,       // Nothing of the service can take a new connection.
+  kOverloaded,     // More urgent work needs the service's targets.
   kTargetOver,     // The target of the connection has ended for sure.
   kNotYetCurrent,  // No manifest is known here yet.
   kNoTag,
@@ -50,6 +51,8 @@
 // The caller is told at once that its connection is over.
 struct reset_caller {
   forward_reason reason{};
+  // Requests for each slot of the service, when they are the reason.
+  double pressure = 0;
 };
 // The caller sends it again.
 struct drop_packet {
--- a/Source/Runtime/entry_loop.cc
+++ b/Source/Runtime/entry_loop.cc
@@ -169,7 +169,7 @@
     } else if (const auto* reset = std::get_if<reset_caller>(&verdict)) {
       packets_.Send({packet->flow.caller.ip, callers_port_},
                     adapter_.packets.reset(*packet));
-      Log(now, *packet, "flow_reset", reset->reason, nullptr);
+      Log(now, *packet, "flow_reset", reset->reason, nullptr, reset->pressure);
     } else {
       Log(now, *packet, "packet_dropped", std::get<drop_packet>(verdict).reason,
           nullptr);
@@ -177,22 +177,25 @@
   }
 
   void Log(instant now, const flow_packet& packet, std::string_view event,
-           forward_reason reason, const known_target* target) {
+           forward_reason reason, const known_target* target,
+           slot_pressure pressure = 0) {
     if (!log_.TakeFlowLine(now)) return;
     const std::string_view target_id =
         target == nullptr ? std::string_view() : target->report.id.value;
     const target_tag tag = target == nullptr ? packet.tag : target->tag;
-    log_.Write(event, {{"caller", ToString(packet.flow.caller)},
-                       {"route", ToString(packet.flow.route)},
-                       {"sequence", static_cast<std::int64_t>(packet.sequence)},
-                       {"copy", static_cast<std::int64_t>(packet.copy)},
-                       {"tag", static_cast<std::int64_t>(tag.value)},
-                       {"reason", ToString(reason)},
-                       {"target", target_id},
-                       {"manifest", static_cast<std::int64_t>(
-                                        entry_.follower().version().value)},
-                       {"entry", static_cast<std::int64_t>(
-                                     entry_.follower().applied().value)}});
+    log_.Write(event,
+               {{"caller", ToString(packet.flow.caller)},
+                {"route", ToString(packet.flow.route)},
+                {"sequence", static_cast<std::int64_t>(packet.sequence)},
+                {"copy", static_cast<std::int64_t>(packet.copy)},
+                {"tag", static_cast<std::int64_t>(tag.value)},
+                {"reason", ToString(reason)},
+                {"target", target_id},
+                {"pressure_percent", static_cast<std::int64_t>(pressure * 100)},
+                {"manifest",
+                 static_cast<std::int64_t>(entry_.follower().version().value)},
+                {"entry", static_cast<std::int64_t>(
+                              entry_.follower().applied().value)}});
   }
 
   const fleet_settings& settings_;
--- a/Source/Runtime/fleet_queries.cc
+++ b/Source/Runtime/fleet_queries.cc
@@ -76,6 +76,12 @@
   out.Family("connection_answer_seconds", "histogram",
              "From a connection's first packet to its caller's next one.");
   view.entry.router().answer_latency().Expose(&out);
+  out.Family("refusal_level_percent", "gauge",
+             "Patient routes' new connections that are refused for load.");
+  for (const auto& [service, level] : view.entry.router().refusals()) {
+    out.Sample(Label("service", service.value),
+               static_cast<std::uint64_t>(level.value() * 100));
+  }
   out.Single("ready", "gauge", "Whether callers should be sent here.",
              view.entry.IsReady(view.now) ? 1 : 0);
   out.Single("manifest_version", "gauge", "Newest manifest in force here.",
--- a/Source/UnitTests/Forwarding/demand_test.cc
+++ b/Source/UnitTests/Forwarding/demand_test.cc
@@ -81,7 +81,7 @@
 }
 
 TEST_CASE("demand is measured over the last seconds") {
-  demand_meter meter;
+  demand_meter meter(seconds(3));
   instant now{seconds(100)};
   for (int i = 0; i < 2000; ++i) {
     meter.Count(now, {"catalogue"});
--- a/Source/UnitTests/Forwarding/flow_router_test.cc
+++ b/Source/UnitTests/Forwarding/flow_router_test.cc
@@ -272,5 +272,70 @@
   }
 }
 
+TEST_CASE("patient work is refused at its first packet when all is busy") {
+  router_story story;
+  story.AddTarget("i-1", "a");
+  const ipv4_endpoint urgent{{0xc6120001}, {8443}};
+  story.state.routes[urgent] = {.shares = {{kCatalogue, 1}}, .priority = 0};
+  story.state.priorities = PrioritiesOf(story.state.routes);
+  // Requests whose answers begin after 40 ms, 200 a second at two slots.
+  const auto work = [&](int requests) {
+    for (int i = 0; i < requests; ++i) {
+      story.router.Tick(story.now);
+      const auto caller = static_cast<std::uint32_t>(i % 50);
+      if (i % 20 == 0) story.Open(1000 + caller);
+      story.router.Route(story.now, story.Following(caller, {"i-1"}));
+      flow_packet answered = story.Following(caller, {"i-1"}, 0);
+      answered.acknowledged += 4000;
+      story.router.Route(story.now + milliseconds(40), answered);
+      if (i % 20 == 0) {
+        story.router.Route(story.now + milliseconds(1),
+                           story.Following(1000 + caller, {"i-1"}));
+      }
+      story.now += milliseconds(5);
+    }
+  };
+  const auto refused = [&](const ipv4_endpoint& route) {
+    int count = 0;
+    for (std::uint32_t i = 0; i < 100; ++i) {
+      count += story.ReasonOf(story.Opening(5000 + i, 0, route)) ==
+               forward_reason::kOverloaded;
+    }
+    return count;
+  };
+
+  work(2000);
+  REQUIRE(story.router.Pressure(story.now, kCatalogue, 2) > 3);
+  REQUIRE(refused(kRoute) > 90);
+  SECTION("less while others are silent: the demand told may be theirs") {
+    const auto pressure = [&] {
+      for (std::uint32_t i = 0;; ++i) {
+        const auto verdict =
+            story.router.Route(story.now, story.Opening(7000 + i));
+        if (const auto* reset = std::get_if<reset_caller>(&verdict)) {
+          return reset->pressure;
+        }
+      }
+    };
+    const double before = pressure();
+    story.AddTarget("i-2", "b");
+    story.AddTarget("i-2", "b", target_phase::kSilent);
+    REQUIRE(pressure() == Approx(before / 2));
+  }
+  SECTION("urgent work isn't") { REQUIRE(refused(urgent) == 0); }
+  SECTION("and it's taken again when the rush is over") {
+    for (int i = 0; i < 100; ++i) {
+      story.now += milliseconds(50);
+      refused(kRoute);
+    }
+    REQUIRE(refused(kRoute) == 0);
+  }
+  SECTION("where there is nothing more urgent, targets refuse themselves") {
+    story.state.routes.erase(urgent);
+    story.state.priorities = PrioritiesOf(story.state.routes);
+    REQUIRE(refused(kRoute) == 0);
+  }
+}
+
 }  // namespace
 }  // namespace lavendertack
--- a/Source/UnitTests/Support/random_run.h
+++ b/Source/UnitTests/Support/random_run.h
@@ -4,10 +4,8 @@
 
 #include <cstdint>
 #include <functional>
-#include <queue>
-#include <vector>
 
-#include "Common/instant.h"
+#include "Common/event_queue.h"
 
 namespace lavendertack::testing {
 
@@ -22,35 +20,6 @@
 // Calls `run` with each seed that the options ask for.
 void ForEachSeed(const std::function<void(std::uint64_t seed)>& run);
 
-// Actions in the order of their virtual time; equal times keep the order in
-// which they were put in.
-class event_queue {
- public:
-  instant Now() const { return now_; }
-  void After(microseconds delay, std::function<void()> action);
-  // Runs the next action. False when there is none.
-  bool RunNext();
-  // Runs every action up to `end`, and sets the time to it.
-  void RunUntil(instant end);
-
- private:
-  struct entry {
-    instant when;
-    std::uint64_t order;
-    std::function<void()> action;
-  };
-  struct later {
-    bool operator()(const entry& a, const entry& b) const {
-      if (a.when != b.when) return a.when > b.when;
-      return a.order > b.order;
-    }
-  };
-
-  instant now_;
-  std::uint64_t order_ = 0;
-  std::priority_queue<entry, std::vector<entry>, later> entries_;
-};
-
 }  // namespace lavendertack::testing
 
 #endif  // LAVENDERTACK_UNITTESTS_SUPPORT_RANDOM_RUN_H_
