--- a/Source/Ctl/verb_runs.h
+++ b/Source/Ctl/verb_runs.h
@@ -27,6 +27,7 @@
 
 int ShowFleetStatus(const verb_context& context, const verb_words& words);
 int ShowFleetTargets(const verb_context& context, const verb_words& words);
+int CheckFleetSettings(const verb_context& context, const verb_words& words);
 int ExplainLog(const verb_context& context, const verb_words& words);
 
 // Prints the rows below `key` of every instance that answers.
--- a/Source/Ctl/verbs.cc
+++ b/Source/Ctl/verbs.cc
@@ -87,6 +87,10 @@
        "caller's\naddress and port, a target, its tag, a control instance or a "
        "manifest's number.",
        ExplainLog},
+      {"fleet settings", "FILE", 1, 1,
+       "Checks the settings file of an entry or control instance, and names "
+       "all that\nis wrong in it.",
+       CheckFleetSettings},
       {"settings check", "FILE", 1, 1,
        "Checks an instance's settings file against this machine.",
        CheckSettings},
--- a/Source/Ctl/verbs_settings.cc
+++ b/Source/Ctl/verbs_settings.cc
@@ -5,6 +5,7 @@
 #include "Config/machine_check.h"
 #include "Config/setting_keys.h"
 #include "Ctl/verb_runs.h"
+#include "platform/adapter.h"
 
 namespace lavendertack {
 namespace {
@@ -39,17 +40,36 @@
   return errors.empty() ? kExitDone : kExitRefused;
 }
 
+std::optional<std::string> ReadOrTell(const verb_context& context,
+                                      const std::string& path) {
+  std::ifstream in(path);
+  if (!in) {
+    context.err << "can't read " << path << "\n";
+    return std::nullopt;
+  }
+  return std::string((std::istreambuf_iterator<char>(in)),
+                     std::istreambuf_iterator<char>());
+}
+
 }  // namespace
 
-int CheckSettings(const verb_context& context, const verb_words& words) {
-  std::ifstream in(words.at(0));
-  if (!in) {
-    context.err << "can't read " << words.at(0) << "\n";
-    return kExitUsage;
+int CheckFleetSettings(const verb_context& context, const verb_words& words) {
+  const auto text = ReadOrTell(context, words.at(0));
+  if (!text) return kExitUsage;
+  std::vector<settings_error> errors;
+  auto parsed = platform::MakeAdapter().parse_settings(*text);
+  if (const auto* wrong = std::get_if<std::vector<json_error>>(&parsed)) {
+    for (const json_error& error : *wrong) {
+      errors.push_back({error.path, error.reason});
+    }
   }
-  const std::string text((std::istreambuf_iterator<char>(in)),
-                         std::istreambuf_iterator<char>());
-  auto parsed = ParseSettings(text);
+  return Report(context, errors, {});
+}
+
+int CheckSettings(const verb_context& context, const verb_words& words) {
+  const auto text = ReadOrTell(context, words.at(0));
+  if (!text) return kExitUsage;
+  auto parsed = ParseSettings(*text);
   if (auto* errors = std::get_if<std::vector<settings_error>>(&parsed)) {
     return Report(context, *errors, {});
   }
--- a/Source/Forwarding/answer_times.h
+++ b/Source/Forwarding/answer_times.h
@@ -25,7 +25,9 @@
 class running_median {
  public:
   void Add(microseconds sample);
-  microseconds value() const { return microseconds(std::int64_t(value_us_)); }
+  microseconds value() const {
+    return microseconds(static_cast<std::int64_t>(value_us_));
+  }
   bool known() const { return value_us_ > 0; }
 
  private:
--- a/Source/UnitTests/Ctl/verbs_test.cc
+++ b/Source/UnitTests/Ctl/verbs_test.cc
@@ -141,6 +141,19 @@
     CHECK(instances.Run({"fleet", "status"}) == kExitDone);
     CHECK(instances.out.str().find("10.0.0.1") != std::string::npos);
   }
+  SECTION("what is wrong in an instance's settings, all at once") {
+    const std::string file = (std::filesystem::temp_directory_path() /
+                              ("fleet-" + std::to_string(getpid())))
+                                 .string();
+    std::ofstream(file) << R"({"serves":["frontend"],"ip":"here"})";
+    instances.options.json = true;
+    CHECK(instances.Run({"fleet", "settings", file}) == kExitRefused);
+    const json told = json::parse(instances.out.str());
+    CHECK(told.at("errors").size() > 2);
+    std::filesystem::remove(file);
+    CHECK(instances.Run({"fleet", "settings", file}) == kExitUsage);
+    CHECK(instances.err.str().find("can't read") != std::string::npos);
+  }
   SECTION("what became of a caller's connection") {
     const std::string file = (std::filesystem::temp_directory_path() /
                               ("log-" + std::to_string(getpid())))
