Forwarding: nothing is refused for load while slots are free

Cause: the level of refusal moves with connections, by 200 ms at most; after a rush that ended in silence the first patient connections would have been refused at free targets (found by reading). Change: below a pressure of 1 nothing is refused; a silence lowers the level by all of its time; what waited in a suspended instance is never timed (the table is cleared at the first tick after it, not at each packet). Levels of services that are gone are forgotten.

--- a/Source/Benchmarks/forward_costs.cc
+++ b/Source/Benchmarks/forward_costs.cc
@@ -47,6 +47,7 @@
     tags.push_back(TagOf(report.id));
   }
   flow_router router(&state, {"a"}, 1);
+  router.Tick(now);
   std::mt19937 random(1);
   const auto packet = [&](std::uint32_t flow) {
     return flow_packet{
--- a/Source/Benchmarks/load_experiment.cc
+++ b/Source/Benchmarks/load_experiment.cc
@@ -115,13 +115,7 @@
   return true;
 }
 
-}  // namespace
-}  // namespace lavendertack
-
-int main(int argc, char** argv) {
-  gflags::SetUsageMessage("plays scenarios of the model");
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
-  using namespace lavendertack;
+int Run() {
   table out;
   const auto scenarios =
       FLAGS_scenario == "all" ? ScenarioNames() : Split(FLAGS_scenario);
@@ -139,3 +133,12 @@
   }
   return 0;
 }
+
+}  // namespace
+}  // namespace lavendertack
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage("plays scenarios of the model");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return lavendertack::Run();
+}
--- a/Source/Forwarding/flow_router.cc
+++ b/Source/Forwarding/flow_router.cc
@@ -76,8 +76,6 @@
 
 forward_verdict flow_router::Route(instant now, const flow_packet& packet) {
   if (!state_->has_manifest) return drop_packet{forward_reason::kNotYetCurrent};
-  // What waited here meanwhile tells nothing about the targets.
-  if (now - last_tick_ > kSuspended) answer_times_.Restart();
   return packet.opens ? Open(now, packet) : Follow(now, packet);
 }
 
@@ -134,7 +132,10 @@
   if (target->IsOver() && now - target->changed > kEndingTime) {
     return reset_caller{forward_reason::kTargetOver};
   }
-  answer_times_.Passed(now, packet, target->report.service);
+  // What waited here while the process stood still tells nothing of targets.
+  if (now - last_tick_ <= kSuspended) {
+    answer_times_.Passed(now, packet, target->report.service);
+  }
   if (packet.data_bytes > 0) {
     load_.Carried(now, packet.tag);
     demand_.Count(now, target->report.service);
@@ -206,6 +207,8 @@
   const slot_pressure pressure = Pressure(now, service, open_slots_);
   const double level =
       refusals_[service].Move(now, pressure, it->second.size() - 1);
+  // Some slots are free, whatever was refused a moment ago.
+  if (pressure < 1) return std::nullopt;
   const double part = refusal_(level, priority, it->second);
   if (part <= 0) return std::nullopt;
   if (std::uniform_real_distribution<double>(0, 1)(random_) >= part) {
@@ -247,12 +250,16 @@
 }
 
 void flow_router::Tick(instant now) {
+  if (now - last_tick_ > kSuspended) answer_times_.Restart();
   last_tick_ = now;
   attempts_.Expire(now - kAttemptLifetime,
                    [this, now](const open_attempt& lost) {
                      load_.AddPending(now, lost.tag, -1);
                    });
   load_.Forget(now);
+  std::erase_if(refusals_, [this](const auto& entry) {
+    return !state_->priorities.contains(entry.first);
+  });
 }
 
 }  // namespace lavendertack
--- a/Source/Forwarding/overload.cc
+++ b/Source/Forwarding/overload.cc
@@ -14,8 +14,9 @@
 constexpr slot_pressure kWantedPressure = 1.8;
 // Change of the level in a second at twice the wanted pressure.
 constexpr double kMovePerSecond = 1.0;
-// Steps are no longer: between two connections much may have changed.
-constexpr milliseconds kLongestStep{200};
+// A rise counts no longer a time: between two connections much may have
+// changed.
+constexpr milliseconds kLongestRise{200};
 
 }  // namespace
 
@@ -38,13 +39,15 @@
 
 double refusal_level::Move(instant now, slot_pressure pressure,
                            std::size_t ranks) {
-  const auto since =
-      std::min<microseconds>(now - moved_.value_or(now), kLongestStep);
+  const microseconds since = now - moved_.value_or(now);
   moved_ = now;
   const double error = std::clamp(pressure / kWantedPressure - 1, -1.0, 1.0);
-  const double step =
-      error * kMovePerSecond * std::chrono::duration<double>(since).count();
-  level_ = std::clamp(level_ + step, 0.0, static_cast<double>(ranks));
+  // It falls by all of a long silence, and rises by a short step only.
+  const auto step =
+      error > 0 ? std::min<microseconds>(since, kLongestRise) : since;
+  level_ +=
+      error * kMovePerSecond * std::chrono::duration<double>(step).count();
+  level_ = std::clamp(level_, 0.0, static_cast<double>(ranks));
   return level_;
 }
 
