--- a/Source/Ctl/verb_runs.h
+++ b/Source/Ctl/verb_runs.h
@@ -2,6 +2,7 @@
 #ifndef LAVENDERTACK_CTL_VERB_RUNS_H_
 #define LAVENDERTACK_CTL_VERB_RUNS_H_
 
+#include <fstream>
 #include <optional>
 #include <string>
 #include <vector>
@@ -38,6 +39,12 @@
                                      const std::string& method,
                                      const std::string& path,
                                      const std::string& body = "");
+// The opened file; prints that it can't be read, and returns nothing then.
+std::optional<std::ifstream> OpenOrTell(const verb_context& context,
+                                        const std::string& path);
+// The same, with the whole file's text.
+std::optional<std::string> ReadOrTell(const verb_context& context,
+                                      const std::string& path);
 // Prints an answer that is no success and returns its exit code.
 int TellRefusal(const verb_context& context, const admin_reply& reply);
 
--- a/Source/Ctl/verbs_fleet.cc
+++ b/Source/Ctl/verbs_fleet.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <fstream>
 
 #include "Ctl/table.h"
 #include "Ctl/verb_runs.h"
@@ -45,13 +44,10 @@
 }
 
 int ExplainLog(const verb_context& context, const verb_words& words) {
-  std::ifstream in(words.at(1));
-  if (!in) {
-    context.err << "can't read " << words.at(1) << "\n";
-    return kExitUsage;
-  }
+  auto in = OpenOrTell(context, words.at(1));
+  if (!in) return kExitUsage;
   json rows = json::array();
-  for (std::string text; std::getline(in, text);) {
+  for (std::string text; std::getline(*in, text);) {
     // Whatever else stands before the line, as a collector's time stamp.
     const std::size_t start = text.find('{');
     if (start == std::string::npos) continue;
--- a/Source/Ctl/verbs_settings.cc
+++ b/Source/Ctl/verbs_settings.cc
@@ -1,7 +1,3 @@
-#include <fstream>
-#include <iterator>
-#include <optional>
-
 #include "Config/machine_check.h"
 #include "Config/setting_keys.h"
 #include "Ctl/verb_runs.h"
@@ -40,17 +36,6 @@
   return errors.empty() ? kExitDone : kExitRefused;
 }
 
-std::optional<std::string> ReadOrTell(const verb_context& context,
-                                      const std::string& path) {
-  std::ifstream in(path);
-  if (!in) {
-    context.err << "can't read " << path << "\n";
-    return std::nullopt;
-  }
-  return std::string((std::istreambuf_iterator<char>(in)),
-                     std::istreambuf_iterator<char>());
-}
-
 }  // namespace
 
 int CheckFleetSettings(const verb_context& context, const verb_words& words) {
--- a/Source/Ctl/verbs_ticket.cc
+++ b/Source/Ctl/verbs_ticket.cc
@@ -1,4 +1,3 @@
-#include <fstream>
 #include <iterator>
 #include <optional>
 
@@ -72,6 +71,24 @@
 
 }  // namespace
 
+std::optional<std::ifstream> OpenOrTell(const verb_context& context,
+                                        const std::string& path) {
+  std::ifstream in(path);
+  if (!in) {
+    context.err << "can't read " << path << "\n";
+    return std::nullopt;
+  }
+  return in;
+}
+
+std::optional<std::string> ReadOrTell(const verb_context& context,
+                                      const std::string& path) {
+  auto in = OpenOrTell(context, path);
+  if (!in) return std::nullopt;
+  return std::string((std::istreambuf_iterator<char>(*in)),
+                     std::istreambuf_iterator<char>());
+}
+
 std::optional<admin_reply> AskOrTell(const verb_context& context,
                                      const std::string& method,
                                      const std::string& path,
@@ -107,14 +124,9 @@
 }
 
 int SubmitTicket(const verb_context& context, const verb_words& words) {
-  std::ifstream in(words.at(0));
-  if (!in) {
-    context.err << "can't read " << words.at(0) << "\n";
-    return kExitUsage;
-  }
-  const std::string body((std::istreambuf_iterator<char>(in)),
-                         std::istreambuf_iterator<char>());
-  const auto reply = AskOrTell(context, "POST", "/v1/tickets", body);
+  const auto body = ReadOrTell(context, words.at(0));
+  if (!body) return kExitUsage;
+  const auto reply = AskOrTell(context, "POST", "/v1/tickets", *body);
   if (!reply) return kExitUnreachable;
   if (reply->status != 200) return TellRefusal(context, *reply);
   return Finish(context, *reply);
--- a/Source/Following/control_follower.cc
+++ b/Source/Following/control_follower.cc
@@ -52,6 +52,12 @@
   controls_[control].listed = now;
 }
 
+std::set<instance_name> control_follower::ControlNames() const {
+  std::set<instance_name> names;
+  for (const auto& [name, control] : controls_) names.insert(name);
+  return names;
+}
+
 bool control_follower::Hears(instant now, const instance_name& name) const {
   auto it = controls_.find(name);
   return it != controls_.end() && it->second.heard &&
--- a/Source/Following/control_follower.h
+++ b/Source/Following/control_follower.h
@@ -98,6 +98,7 @@
   const std::map<instance_name, followed_control>& controls() const {
     return controls_;
   }
+  std::set<instance_name> ControlNames() const;
   bool Hears(instant now, const instance_name& name) const;
   // State and targets are complete, as far as the control instances that can
   // be reached know them.
--- a/Source/Model/fleet_model.cc
+++ b/Source/Model/fleet_model.cc
@@ -91,6 +91,16 @@
   flow_ref on;
 };
 
+// A packet of one attempt at a request.
+struct fleet_model::on_the_way {
+  request_ref one;
+  flow_ref on;
+  std::uint64_t attempt = 0;
+  flow_packet packet;
+
+  bool IsCurrent() const { return one->attempt == attempt; }
+};
+
 fleet_model::fleet_model(model_scenario scenario, model_policy policy,
                          std::uint64_t seed)
     : scenario_(std::move(scenario)), policy_(policy), random_(seed) {}
@@ -155,13 +165,8 @@
 void fleet_model::Dispatch(std::size_t i, const control_event& event) {
   for (control_effect& effect : controls_[i]->Reduce(Now(), event)) {
     if (auto* send = std::get_if<send_to_control>(&effect)) {
-      for (std::size_t to = 0; to < kControls; ++to) {
-        if (ControlAt(to) != send->to) continue;
-        const link_id link{"control " + std::to_string(i) + " 0"};
-        queue_.After(kBetween, [this, to, link, message = send->message] {
-          Dispatch(to, control_message{link, message});
-        });
-      }
+      SendToControl(send->to, {"control " + std::to_string(i) + " 0"},
+                    std::move(send->message));
     } else if (auto* reply = std::get_if<send_to_follower>(&effect)) {
       queue_.After(kBetween, [this, to = reply->to, message = reply->message] {
         Reply(to, message);
@@ -170,6 +175,17 @@
   }
 }
 
+void fleet_model::SendToControl(const instance_name& name, const link_id& link,
+                                wire::fleet_message message) {
+  for (std::size_t to = 0; to < kControls; ++to) {
+    if (ControlAt(to) != name) continue;
+    queue_.After(kBetween, [this, to, link, message = std::move(message)] {
+      Dispatch(to, control_message{link, message});
+    });
+    return;
+  }
+}
+
 // Links are named by who asked: "control 2 0" or "entry 3" and its life.
 void fleet_model::Reply(const link_id& to, const wire::fleet_message& message) {
   const std::size_t first = to.value.find(' ');
@@ -208,15 +224,10 @@
   entry_state& one = entries_[i];
   if (one.life != life) return;
   one.instance->Tick(Now());
-  for (const follow_request& request : one.instance->Requests(Now())) {
-    for (std::size_t to = 0; to < kControls; ++to) {
-      if (ControlAt(to) != request.to) continue;
-      const link_id link{"entry " + std::to_string(i) + " " +
-                         std::to_string(life)};
-      queue_.After(kBetween, [this, to, link, message = request.message] {
-        Dispatch(to, control_message{link, message});
-      });
-    }
+  for (follow_request& request : one.instance->Requests(Now())) {
+    SendToControl(request.to,
+                  {"entry " + std::to_string(i) + " " + std::to_string(life)},
+                  std::move(request.message));
   }
   const bool ready = one.instance->IsReady(Now());
   if (ready != std::exchange(one.ready, ready)) {
@@ -420,47 +431,46 @@
   if (ready.empty()) return;
   const std::size_t to =
       ready[std::hash<flow_key>()(packet.flow) % ready.size()];
-  const std::uint64_t attempt = one->attempt;
-  const flow_ref on = one->on;
-  queue_.After(kToCaller, [this, one, on, to, packet, attempt] {
-    entry_state& each = entries_[to];
-    if (each.instance == nullptr) return;
-    const forward_verdict verdict = each.instance->Route(Now(), packet);
-    if (std::holds_alternative<reset_caller>(verdict)) {
-      const bool refused = packet.opens;
-      if (!refused && targets_[on->target].alive) ++result_.broken_flows;
-      queue_.After(kToCaller, [this, one, on, attempt, refused] {
-        on->closed = true;
-        if (one->attempt == attempt) EndTry(one, refused, refused);
-      });
-      return;
-    }
-    const auto* forward = std::get_if<forward_to_target>(&verdict);
-    if (forward == nullptr) return;
-    const std::size_t target = target_index_.at(forward->target->report.id);
-    const target_tag tag = forward->target->tag;
-    queue_.After(PathTo(on->data_centre, target),
-                 [this, one, on, packet, target, tag, attempt] {
-                   if (one->attempt != attempt || !targets_[target].alive) {
-                     return;
-                   }
-                   if (packet.opens) {
-                     on->tag = tag;
-                     ++targets_[target].open_flows;
-                     queue_.After(PathTo(on->data_centre, target) + kToCaller,
-                                  [this, one, on, target, attempt] {
-                                    if (one->attempt != attempt || on->open) {
-                                      return;
-                                    }
-                                    on->target = target;
-                                    Opened(one);
-                                  });
-                   } else if (packet.data_bytes > 0 && !one->reached_target) {
-                     one->reached_target = true;
-                     TakeRequest(target, one);
-                   }
-                 });
-  });
+  const on_the_way sent{one, one->on, one->attempt, packet};
+  queue_.After(kToCaller, [this, sent, to] { ReachEntry(sent, to); });
+}
+
+void fleet_model::ReachEntry(const on_the_way& sent, std::size_t i) {
+  if (entries_[i].instance == nullptr) return;
+  const forward_verdict verdict =
+      entries_[i].instance->Route(Now(), sent.packet);
+  if (std::holds_alternative<reset_caller>(verdict)) {
+    const bool refused = sent.packet.opens;
+    if (!refused && targets_[sent.on->target].alive) ++result_.broken_flows;
+    queue_.After(kToCaller, [this, sent, refused] {
+      sent.on->closed = true;
+      if (sent.IsCurrent()) EndTry(sent.one, refused, refused);
+    });
+    return;
+  }
+  const auto* forward = std::get_if<forward_to_target>(&verdict);
+  if (forward == nullptr) return;
+  const std::size_t to = target_index_.at(forward->target->report.id);
+  const target_tag tag = forward->target->tag;
+  queue_.After(PathTo(sent.on->data_centre, to),
+               [this, sent, to, tag] { ReachTarget(sent, to, tag); });
+}
+
+void fleet_model::ReachTarget(const on_the_way& sent, std::size_t i,
+                              target_tag tag) {
+  if (!sent.IsCurrent() || !targets_[i].alive) return;
+  if (sent.packet.opens) {
+    sent.on->tag = tag;
+    ++targets_[i].open_flows;
+    queue_.After(PathTo(sent.on->data_centre, i) + kToCaller, [this, sent, i] {
+      if (!sent.IsCurrent() || sent.on->open) return;
+      sent.on->target = i;
+      Opened(sent.one);
+    });
+  } else if (sent.packet.data_bytes > 0 && !sent.one->reached_target) {
+    sent.one->reached_target = true;
+    TakeRequest(i, sent.one);
+  }
 }
 
 void fleet_model::Opened(const request_ref& one) {
--- a/Source/Model/fleet_model.h
+++ b/Source/Model/fleet_model.h
@@ -55,6 +55,7 @@
   struct entry_state;
   struct flow_state;
   struct request_state;
+  struct on_the_way;
   using flow_ref = std::shared_ptr<flow_state>;
   using request_ref = std::shared_ptr<request_state>;
 
@@ -64,6 +65,8 @@
   void TickControl(std::size_t i);
   void TickEntry(std::size_t i, std::uint64_t life);
   void Dispatch(std::size_t i, const control_event& event);
+  void SendToControl(const instance_name& name, const link_id& link,
+                     wire::fleet_message message);
   void Reply(const link_id& to, const wire::fleet_message& message);
   const known_target* Choose(const std::vector<const known_target*>& among);
 
@@ -89,6 +92,8 @@
 
   // What the caller's data centre does with a packet.
   void SendPacket(const request_ref& one, const flow_packet& packet);
+  void ReachEntry(const on_the_way& sent, std::size_t i);
+  void ReachTarget(const on_the_way& sent, std::size_t i, target_tag tag);
   flow_packet PacketOf(const flow_state& from) const;
   microseconds PathTo(std::size_t data_centre, std::size_t target) const;
   void Play(const model_fault& fault);
--- a/Source/Runtime/control_loop.cc
+++ b/Source/Runtime/control_loop.cc
@@ -193,10 +193,7 @@
     }
     RetryStorage(now);
     Dispatch(control_tick{});
-    std::set<instance_name> controls;
-    for (const auto& [name, control] : control_->peers().controls()) {
-      controls.insert(name);
-    }
+    std::set<instance_name> controls = control_->peers().ControlNames();
     for (const auto& [name, storage] : control_->published().voters()) {
       controls.insert(name);
     }
@@ -411,14 +408,7 @@
 std::variant<std::monostate, fleet_error> RunControl(
     const fleet_settings& settings, const fleet_adapter& adapter,
     settings_file* file, process_signals* signals) {
-  try {
-    control_loop loop(settings, adapter, file, signals);
-    if (auto error = loop.Start()) return *error;
-    loop.Run();
-  } catch (const std::exception& error) {
-    return fleet_error{error.what()};
-  }
-  return std::monostate{};
+  return RunLoop<control_loop>(settings, adapter, file, signals);
 }
 
 }  // namespace lavendertack
--- a/Source/Runtime/entry_loop.cc
+++ b/Source/Runtime/entry_loop.cc
@@ -120,11 +120,7 @@
     for (const follow_request& request : entry_.Requests(now)) {
       links_.Send(now, request.to, request.message);
     }
-    std::set<instance_name> controls;
-    for (const auto& [name, control] : entry_.follower().controls()) {
-      controls.insert(name);
-    }
-    links_.Tick(now, controls);
+    links_.Tick(now, entry_.follower().ControlNames());
     UpdateReadiness(now);
     log_.Tick(now);
   }
@@ -221,14 +217,7 @@
 std::variant<std::monostate, fleet_error> RunEntry(
     const fleet_settings& settings, const fleet_adapter& adapter,
     settings_file* file, process_signals* signals) {
-  try {
-    entry_loop loop(settings, adapter, file, signals);
-    if (auto error = loop.Start()) return *error;
-    loop.Run();
-  } catch (const std::exception& error) {
-    return fleet_error{error.what()};
-  }
-  return std::monostate{};
+  return RunLoop<entry_loop>(settings, adapter, file, signals);
 }
 
 }  // namespace lavendertack
--- a/Source/Runtime/fleet_process.h
+++ b/Source/Runtime/fleet_process.h
@@ -4,8 +4,10 @@
 #define LAVENDERTACK_RUNTIME_FLEET_PROCESS_H_
 
 #include <atomic>
+#include <exception>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "EventLog/event_log.h"
@@ -60,6 +62,22 @@
 
 void LogNote(event_log* log, const follower_note& note);
 
+// Starts a loop and runs it until the signal to stop. What it throws is told as
+// its error.
+template <typename loop>
+std::variant<std::monostate, fleet_error> RunLoop(
+    const fleet_settings& settings, const fleet_adapter& adapter,
+    settings_file* file, process_signals* signals) {
+  try {
+    loop running(settings, adapter, file, signals);
+    if (auto error = running.Start()) return *error;
+    running.Run();
+  } catch (const std::exception& error) {
+    return fleet_error{error.what()};
+  }
+  return std::monostate{};
+}
+
 }  // namespace lavendertack
 
 #endif  // LAVENDERTACK_RUNTIME_FLEET_PROCESS_H_
