Following, Runtime: first update sooner after an outage

Change: attempts to connect at 30 to 60 ms, 150 to 300 ms after the connection was reopened without an answer; a request that couldn't be sent stays due, and the entry instance ticks every 15 ms until it's synced; unanswered requests are counted since the last update. The test of the retries after 60 answered requests fails without the change.

--- a/Source/Entry/entry_instance.h
+++ b/Source/Entry/entry_instance.h
@@ -40,6 +40,8 @@
                                       const wire::fleet_message& message);
   // Requests to control instances that are due at `now`.
   std::vector<follow_request> Requests(instant now);
+  // Call it when a request couldn't be sent.
+  void RequestNotSent(const instance_name& to) { follower_.RequestNotSent(to); }
   // Runs periodic work; returns events for the log.
   std::vector<follower_event> Tick(instant now);
 
--- a/Source/Following/control_follower.cc
+++ b/Source/Following/control_follower.cc
@@ -31,8 +31,8 @@
 // the interval in the settings, because callers wait for the first update when
 // all control instances were lost.
 constexpr milliseconds kRetryInterval{100};
-// Number of requests to a control instance after which the interval in the
-// settings applies even if it is unreachable.
+// Number of unanswered requests to a control instance after which the interval
+// in the settings applies even if it is unreachable.
 constexpr int kMaxRetryRequests = 30;
 // Maximum number of followed control instances.
 constexpr std::size_t kMaxControls = 16;
@@ -82,6 +82,7 @@
   if (!IsReachable(now, from)) events.emplace_back(control_found{from});
   followed_control& control = controls_[from];
   control.last_update = now;
+  control.unanswered_requests = 0;
   control.last_listed = now;
   control.reports_expiring = false;
   control.data_centre = {update.data_centre()};
@@ -181,14 +182,14 @@
   std::vector<follow_request> requests;
   for (auto& [name, control] : controls_) {
     const bool is_retry =
-        !IsReachable(now, name) && control.sent_requests < kMaxRetryRequests;
+        !IsReachable(now, name) && control.unanswered_requests < kMaxRetryRequests;
     const milliseconds interval =
         is_retry ? kRetryInterval : settings_.follow_interval;
     if (control.last_request && now - *control.last_request < interval) {
       continue;
     }
     control.last_request = now;
-    ++control.sent_requests;
+    ++control.unanswered_requests;
     wire::fleet_message message;
     message.set_from(settings_.self.value);
     auto* follow = message.mutable_follow();
@@ -209,6 +210,13 @@
   return requests;
 }
 
+void control_follower::RequestNotSent(const instance_name& to) {
+  auto it = controls_.find(to);
+  if (it == controls_.end() || !it->second.last_request) return;
+  it->second.last_request.reset();
+  --it->second.unanswered_requests;
+}
+
 std::vector<follower_event> control_follower::Tick(instant now) {
   std::vector<follower_event> events;
   bool any_reachable = false;
--- a/Source/Following/control_follower.h
+++ b/Source/Following/control_follower.h
@@ -39,8 +39,8 @@
   data_centre_name data_centre;
   // When the last request was sent to it.
   std::optional<instant> last_request;
-  // Number of requests sent to it; an update doesn't reset it.
-  int sent_requests = 0;
+  // Number of requests sent to it since its last update.
+  int unanswered_requests = 0;
   // When its last update was received.
   std::optional<instant> last_update;
   // When it was last listed: in the settings, in an update of a control
@@ -111,6 +111,9 @@
   // callers' requests at this instance; rates below `kMinDemand` aren't sent.
   std::vector<follow_request> Requests(
       instant now, const std::map<service_name, requests_per_s>& demand);
+  // Call it when a request couldn't be sent, as there is no connection to the
+  // control instance: it's due again with the next call of `Requests`.
+  void RequestNotSent(const instance_name& to);
   // Expires the reports of lost control instances and removes control instances
   // and targets after their retention time; returns events for the log.
   std::vector<follower_event> Tick(instant now);
--- a/Source/Runtime/entry_loop.cc
+++ b/Source/Runtime/entry_loop.cc
@@ -20,6 +20,9 @@
 
 // Time between two ticks of the instance.
 constexpr milliseconds kTickInterval{50};
+// The same until the instance knows all targets: connections to the control
+// instances are being established, and a request is due as soon as one is.
+constexpr milliseconds kStartTickInterval{15};
 // Most batches of packets read per iteration of the loop, so that the other
 // sockets are read in time.
 constexpr int kBatchesPerIteration = 8;
@@ -106,7 +109,8 @@
  private:
   void Tick() {
     const instant now = Now();
-    next_tick_ = now + kTickInterval;
+    next_tick_ = now + (entry_.follower().IsSynced(now) ? kTickInterval
+                                                        : kStartTickInterval);
     if (signals_->stop > 0 && !stopping_) {
       stopping_ = true;
       ready_ = false;
@@ -119,7 +123,9 @@
     }
     for (const auto& event : entry_.Tick(now)) LogFollowerEvent(&log_, event);
     for (const follow_request& request : entry_.Requests(now)) {
-      links_.Send(now, request.to, request.message);
+      if (!links_.Send(now, request.to, request.message)) {
+        entry_.RequestNotSent(request.to);
+      }
     }
     links_.Tick(now, entry_.follower().ControlNames());
     UpdateReadiness(now);
--- a/Source/Runtime/fleet_links.cc
+++ b/Source/Runtime/fleet_links.cc
@@ -20,9 +20,12 @@
 // Longest wait for a connection, and for the peer to acknowledge sent bytes.
 constexpr int kConnectTimeoutMs = 250;
 constexpr int kTcpMaxRetransmitMs = 3000;
-// First and longest time between two attempts to connect.
-constexpr int kReconnectMs = 50;
-constexpr int kMaxReconnectMs = 200;
+// Time between two attempts to connect, to which ZeroMQ adds up to the same
+// time at random. Short at first, because after an outage of the whole fleet
+// callers wait for the first update.
+constexpr int kReconnectMs = 30;
+// The same for a connection that was reopened without having received anything.
+constexpr int kSlowReconnectMs = 150;
 
 void ConfigureSocket(zmq::socket_t* socket) {
   socket->set(zmq::sockopt::linger, 0);
@@ -44,29 +47,33 @@
   listener_ = std::move(listener);
 }
 
-zmq::socket_t fleet_links::Connect(const instance_name& control) {
+zmq::socket_t fleet_links::Connect(const instance_name& control,
+                                   int reconnect_ms) {
   zmq::socket_t socket(*context_, zmq::socket_type::dealer);
   ConfigureSocket(&socket);
   socket.set(zmq::sockopt::immediate, true);
   socket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
-  socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
-  socket.set(zmq::sockopt::reconnect_ivl_max, kMaxReconnectMs);
+  socket.set(zmq::sockopt::reconnect_ivl, reconnect_ms);
   socket.connect("tcp://" + control.value + ":" +
                  std::to_string(peer_port_.value));
   return socket;
 }
 
-void fleet_links::Send(instant now, const instance_name& control,
+bool fleet_links::Send(instant now, const instance_name& control,
                        const wire::fleet_message& message) {
   auto it = connections_.find(control);
   if (it == connections_.end()) {
-    if (!ParseIpv4(control.value)) return;
-    it = connections_.emplace(control, connection{Connect(control), now}).first;
+    if (!ParseIpv4(control.value)) return false;
+    it = connections_
+             .emplace(control, connection{Connect(control, kReconnectMs), now})
+             .first;
   }
   const std::string bytes = message.SerializeAsString();
-  if (it->second.socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
-    sent_bytes_ += bytes.size();
+  if (!it->second.socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
+    return false;
   }
+  sent_bytes_ += bytes.size();
+  return true;
 }
 
 void fleet_links::Reply(const link_id& to, const wire::fleet_message& message) {
@@ -130,7 +137,7 @@
         std::min(it->second.consecutive_reopens, kMaxTimeoutDoublings);
     if (now - it->second.last_received_at > kReopenTimeout * (1 << doublings)) {
       ++reopened_;
-      it->second = {Connect(it->first), now,
+      it->second = {Connect(it->first, kSlowReconnectMs), now,
                     it->second.consecutive_reopens + 1};
     }
     ++it;
--- a/Source/Runtime/fleet_links.h
+++ b/Source/Runtime/fleet_links.h
@@ -29,8 +29,9 @@
   void Listen(ipv4_address self);
 
   // Sends to a control instance, whose name is its IPv4 address. Connects first
-  // if there is no connection.
-  void Send(instant now, const instance_name& control,
+  // if there is no connection. Returns false if the message was dropped because
+  // the connection isn't established or its queue is full.
+  bool Send(instant now, const instance_name& control,
             const wire::fleet_message& message);
   // Sends over a connection that another instance opened.
   void Reply(const link_id& to, const wire::fleet_message& message);
@@ -60,7 +61,7 @@
     int consecutive_reopens = 0;  // Since the last received message.
   };
 
-  zmq::socket_t Connect(const instance_name& control);
+  zmq::socket_t Connect(const instance_name& control, int reconnect_ms);
   std::optional<wire::fleet_message> Parse(const zmq::message_t& body);
 
   zmq::context_t* context_;
--- a/Source/UnitTests/Following/control_follower_test.cc
+++ b/Source/UnitTests/Following/control_follower_test.cc
@@ -147,6 +147,26 @@
     REQUIRE(retries.size() == 1);
     REQUIRE(retries.front().to == kSecondControl);
   }
+  SECTION("a request that couldn't be sent is due again at once") {
+    follower.Requests(now + kInterval, {});
+    follower.RequestNotSent(kSecondControl);
+    const auto repeated =
+        follower.Requests(now + kInterval + milliseconds(1), {});
+    REQUIRE(repeated.size() == 1);
+    REQUIRE(repeated.front().to == kSecondControl);
+  }
+  SECTION(
+      "a control instance that becomes unreachable after a long time gets "
+      "requests at short intervals") {
+    for (int i = 0; i < 60; ++i) {
+      now += kInterval;
+      ExchangeUpdate(&follower, &first_control, now);
+      ExchangeUpdate(&follower, &second_control, now);
+    }
+    now += 4 * kInterval;
+    follower.Requests(now, {});
+    REQUIRE(follower.Requests(now + milliseconds(100), {}).size() == 2);
+  }
   SECTION("reports of a lost control instance expire after 15 s") {
     ExchangeUpdate(&follower, &second_control, now);
     for (int i = 0; i < 40; ++i) {
