Entry: packets are held until the state is known

Cause: after an outage of the whole fleet entry instances dropped every packet as not_yet_current until their first update. A dropped packet comes again when the caller retransmits it, often past its deadline. Before that, attempts to connect to a control instance without power took 250 ms each.

Change: Entry/held_packets keeps up to 512 packets for up to 1 s, one copy of each, and entry_instance decides on them again after each update. Packets of open flows go on as soon as their target is known; opening packets wait up to 40 ms for the targets of the other control instances, so that the first known targets don't get all of them. A connection attempt ends after 80 ms; one to an instance that didn't answer for 1.2 s after 400 ms, for distant ones.

--- a/Source/Entry/entry_instance.cc
+++ b/Source/Entry/entry_instance.cc
@@ -16,6 +16,14 @@
 // A draining instance may exit this long before the platform kills it, even if
 // packets still arrive.
 constexpr milliseconds kStopMargin{1500};
+// Longest wait of opening packets for the targets of the other control
+// instances, once the first one has sent its targets. Otherwise the few targets
+// that are known first would get all connections.
+constexpr milliseconds kMaxOpeningWait{40};
+// Limits of the held packets. Callers abandon an attempt to connect after 1.4 s
+// and retransmit other packets after at most 1.6 s.
+constexpr held_packet_limits kHeldPacketLimits{.packets = 512,
+                                               .max_age = milliseconds(1000)};
 
 }  // namespace
 
@@ -26,14 +34,37 @@
                  .is_control = false,
                  .seeds = settings_.seeds,
                  .follow_interval = kFollowInterval}),
-      router_(&follower_.state(), settings_.data_centre, settings_.seed) {
+      router_(&follower_.state(), settings_.data_centre, settings_.seed),
+      held_(kHeldPacketLimits) {
   if (settings_.choose) router_.set_target_selector(settings_.choose);
   if (settings_.refuse) router_.set_refusal_policy(settings_.refuse);
 }
 
 forward_decision entry_instance::Route(instant now, const flow_packet& packet) {
   last_packet_at_ = now;
-  return router_.Route(now, packet);
+  if (auto reason = ReasonToHold(now, packet)) return hold_packet{*reason};
+  forward_decision decision = router_.Route(now, packet);
+  // A control instance that lost its disk learns its targets from their next
+  // reports.
+  const auto* reset = std::get_if<reset_caller>(&decision);
+  if (reset != nullptr && reset->reason == forward_reason::kNoTarget &&
+      !follower_.IsSynced(now)) {
+    return hold_packet{forward_reason::kNoTarget};
+  }
+  return decision;
+}
+
+std::optional<forward_reason> entry_instance::ReasonToHold(
+    instant now, const flow_packet& packet) const {
+  const routing_state& state = follower_.state();
+  if (!state.has_manifest) return forward_reason::kNotYetCurrent;
+  if (follower_.IsSynced(now)) return std::nullopt;
+  if (packet.opens) {
+    if (follower_.IsSynced(now, kMaxOpeningWait)) return std::nullopt;
+    return forward_reason::kNotYetCurrent;
+  }
+  if (state.targets.FindByTag(packet.tag) != nullptr) return std::nullopt;
+  return forward_reason::kUnknownTag;
 }
 
 std::vector<follower_event> entry_instance::Receive(
--- a/Source/Entry/entry_instance.h
+++ b/Source/Entry/entry_instance.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "Common/instant.h"
+#include "Entry/held_packets.h"
 #include "Following/control_follower.h"
 #include "Forwarding/flow_router.h"
 
@@ -32,8 +33,12 @@
  public:
   explicit entry_instance(entry_settings settings);
 
-  // Decides where a caller's packet goes.
+  // Decides where a caller's packet goes. Until the instance knows the
+  // published state and the targets, the decision may be to hold the packet.
   forward_decision Route(instant now, const flow_packet& packet);
+  // Packets with a decision to hold them. Decide again on all of them when an
+  // update was received.
+  held_packets& held() { return held_; }
   // Applies an update of a control instance and ignores other messages. Returns
   // events for the log.
   std::vector<follower_event> Receive(instant now,
@@ -64,9 +69,15 @@
   const flow_router& router() const { return router_; }
 
  private:
+  // Why the packet can't be decided on before more of the state is known;
+  // nullopt if it can.
+  std::optional<forward_reason> ReasonToHold(instant now,
+                                             const flow_packet& packet) const;
+
   entry_settings settings_;
   control_follower follower_;
   flow_router router_;
+  held_packets held_;
   std::optional<instant> stop_requested_at_;
   instant last_packet_at_;
 };
--- /dev/null
+++ b/Source/Entry/held_packets.cc
@@ -0,0 +1,49 @@
+#include "Entry/held_packets.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace lavendertack {
+namespace {
+
+// Whether one of two packets is a retransmission of the other.
+bool IsSamePacket(const flow_packet& a, const flow_packet& b) {
+  return a.flow == b.flow && a.opens == b.opens && a.resets == b.resets &&
+         a.sequence == b.sequence && a.data_bytes == b.data_bytes;
+}
+
+}  // namespace
+
+std::optional<held_packet> held_packets::Add(held_packet packet) {
+  std::erase_if(packets_, [&packet](const held_packet& other) {
+    return IsSamePacket(packet.packet, other.packet);
+  });
+  // A packet that is held again was received before others.
+  const auto position = std::upper_bound(
+      packets_.begin(), packets_.end(), packet.received_at,
+      [](instant at, const auto& other) { return at < other.received_at; });
+  packets_.insert(position, std::move(packet));
+  if (packets_.size() <= limits_.packets) return std::nullopt;
+  held_packet oldest = std::move(packets_.front());
+  packets_.pop_front();
+  return oldest;
+}
+
+std::vector<held_packet> held_packets::TakeExpired(instant now) {
+  std::vector<held_packet> expired;
+  while (!packets_.empty() &&
+         now - packets_.front().received_at > limits_.max_age) {
+    expired.push_back(std::move(packets_.front()));
+    packets_.pop_front();
+  }
+  return expired;
+}
+
+std::vector<held_packet> held_packets::TakeAll() {
+  std::vector<held_packet> taken(std::make_move_iterator(packets_.begin()),
+                                 std::make_move_iterator(packets_.end()));
+  packets_.clear();
+  return taken;
+}
+
+}  // namespace lavendertack
--- a/Source/Following/control_follower.cc
+++ b/Source/Following/control_follower.cc
@@ -181,8 +181,8 @@
     instant now, const std::map<service_name, requests_per_s>& demand) {
   std::vector<follow_request> requests;
   for (auto& [name, control] : controls_) {
-    const bool is_retry =
-        !IsReachable(now, name) && control.unanswered_requests < kMaxRetryRequests;
+    const bool is_retry = !IsReachable(now, name) &&
+                          control.unanswered_requests < kMaxRetryRequests;
     const milliseconds interval =
         is_retry ? kRetryInterval : settings_.follow_interval;
     if (control.last_request && now - *control.last_request < interval) {
@@ -258,8 +258,12 @@
 }
 
 bool control_follower::IsSynced(instant now) const {
+  return IsSynced(now, kMaxSyncWait);
+}
+
+bool control_follower::IsSynced(instant now, milliseconds max_wait) const {
   if (!state_.has_manifest || !first_sync_at_) return false;
-  if (now - *first_sync_at_ >= kMaxSyncWait) return true;
+  if (now - *first_sync_at_ >= max_wait) return true;
   return std::all_of(controls_.begin(), controls_.end(), [](const auto& entry) {
     return entry.second.has_sent_all_targets;
   });
--- a/Source/Following/control_follower.h
+++ b/Source/Following/control_follower.h
@@ -134,7 +134,9 @@
   bool IsReachable(instant now, const instance_name& name) const;
   // Whether a manifest was received and all followed control instances have
   // sent their targets. Once the first one has sent them, the others are waited
-  // for at most 1 s.
+  // for at most `max_wait`.
+  bool IsSynced(instant now, milliseconds max_wait) const;
+  // The same with a wait of at most 1 s.
   bool IsSynced(instant now) const;
 
  private:
--- a/Source/Forwarding/packet.h
+++ b/Source/Forwarding/packet.h
@@ -63,8 +63,12 @@
 struct drop_packet {
   forward_reason reason{};
 };
+// Keep the packet and decide again when more of the state is known.
+struct hold_packet {
+  forward_reason reason{};
+};
 using forward_decision =
-    std::variant<forward_to_target, reset_caller, drop_packet>;
+    std::variant<forward_to_target, reset_caller, drop_packet, hold_packet>;
 
 }  // namespace lavendertack
 
--- a/Source/Runtime/entry_loop.cc
+++ b/Source/Runtime/entry_loop.cc
@@ -22,7 +22,7 @@
 constexpr milliseconds kTickInterval{50};
 // The same until the instance knows all targets: connections to the control
 // instances are being established, and a request is due as soon as one is.
-constexpr milliseconds kStartTickInterval{15};
+constexpr milliseconds kStartTickInterval{10};
 // Most batches of packets read per iteration of the loop, so that the other
 // sockets are read in time.
 constexpr int kBatchesPerIteration = 8;
@@ -87,13 +87,14 @@
       bool more = true;
       for (int i = 0; more && i < kBatchesPerIteration; ++i) {
         more = packet_socket_.Receive(
-            [this](std::span<std::uint8_t> packet) { Forward(packet); });
+            [this](std::span<std::uint8_t> packet) { HandlePacket(packet); });
       }
       links_.Receive(Now(), [this](const link_id&, const auto& message) {
         for (const auto& event : entry_.Receive(Now(), message)) {
           LogFollowerEvent(&log_, event);
         }
       });
+      HandleHeldPackets();
       queries_.AnswerAll([this](const std::string& path) {
         counts_.unsent = packet_socket_.unsent();
         return AnswerEntryQuery(
@@ -144,7 +145,7 @@
                  static_cast<std::int64_t>(follower.state().targets.size())}});
   }
 
-  void Forward(std::span<std::uint8_t> bytes) {
+  void HandlePacket(std::span<std::uint8_t> bytes) {
     const instant now = Now();
     auto packet = adapter_.packets.decode(bytes);
     if (!packet) {
@@ -152,36 +153,81 @@
       return;
     }
     const forward_decision decision = entry_.Route(now, *packet);
+    const auto* hold = std::get_if<hold_packet>(&decision);
+    if (hold == nullptr) {
+      Apply(now, *packet, bytes, decision);
+      return;
+    }
+    ++counts_.held;
+    LogPacket(now, *packet, "packet_held", hold->reason, nullptr);
+    Hold(now, {now, *packet, {bytes.begin(), bytes.end()}});
+  }
+
+  void Hold(instant now, held_packet packet) {
+    if (const auto evicted = entry_.held().Add(std::move(packet))) {
+      DropHeld(now, *evicted);
+    }
+  }
+
+  void DropHeld(instant now, const held_packet& held) {
+    Apply(now, held.packet, {}, drop_packet{forward_reason::kNotYetCurrent});
+  }
+
+  // Decides again on the held packets.
+  void HandleHeldPackets() {
+    if (entry_.held().size() == 0) return;
+    const instant now = Now();
+    for (const held_packet& expired : entry_.held().TakeExpired(now)) {
+      DropHeld(now, expired);
+    }
+    std::vector<held_packet> packets = entry_.held().TakeAll();
+    for (held_packet& held : packets) {
+      const forward_decision decision = entry_.Route(now, held.packet);
+      if (std::holds_alternative<hold_packet>(decision)) {
+        Hold(now, std::move(held));
+      } else {
+        Apply(now, held.packet, held.bytes, decision);
+      }
+    }
+    packet_socket_.Flush();
+  }
+
+  // Applies any decision except hold_packet.
+  void Apply(instant now, const flow_packet& packet,
+             std::span<std::uint8_t> bytes, const forward_decision& decision) {
     ++counts_.packets[std::visit([](const auto& v) { return v.reason; },
                                  decision)];
     if (const auto* forward = std::get_if<forward_to_target>(&decision)) {
-      auto prefix = adapter_.packets.prefix(forward->target->report.id);
-      if (!prefix) {
-        ++counts_.unaddressable;
-        LogPacket(now, *packet, "target_not_addressable", forward->reason,
-                  forward->target);
-        return;
-      }
-      if (packet->opens) {
-        adapter_.packets.write_tag(bytes, forward->target->tag);
-      }
-      packet_socket_.SendReceived(forward->target->report.address, *prefix,
-                                  bytes);
-      if (packet->opens) {
-        LogPacket(now, *packet, "flow_opened", forward->reason,
-                  forward->target);
-      }
+      Forward(now, packet, bytes, *forward);
     } else if (const auto* reset = std::get_if<reset_caller>(&decision)) {
-      packet_socket_.Send({packet->flow.caller.ip, callers_port_},
-                          adapter_.packets.reset(*packet));
-      LogPacket(now, *packet, "flow_reset", reset->reason, nullptr,
+      packet_socket_.Send({packet.flow.caller.ip, callers_port_},
+                          adapter_.packets.reset(packet));
+      LogPacket(now, packet, "flow_reset", reset->reason, nullptr,
                 reset->pressure);
     } else {
-      LogPacket(now, *packet, "packet_dropped",
+      LogPacket(now, packet, "packet_dropped",
                 std::get<drop_packet>(decision).reason, nullptr);
     }
   }
 
+  void Forward(instant now, const flow_packet& packet,
+               std::span<std::uint8_t> bytes,
+               const forward_to_target& decision) {
+    const known_target& target = *decision.target;
+    auto prefix = adapter_.packets.prefix(target.report.id);
+    if (!prefix) {
+      ++counts_.unaddressable;
+      LogPacket(now, packet, "target_not_addressable", decision.reason,
+                &target);
+      return;
+    }
+    if (packet.opens) adapter_.packets.write_tag(bytes, target.tag);
+    packet_socket_.SendReceived(target.report.address, *prefix, bytes);
+    if (packet.opens) {
+      LogPacket(now, packet, "flow_opened", decision.reason, &target);
+    }
+  }
+
   void LogPacket(instant now, const flow_packet& packet, std::string_view event,
                  forward_reason reason, const known_target* target,
                  slot_pressure pressure = 0) {
--- a/Source/Runtime/fleet_links.cc
+++ b/Source/Runtime/fleet_links.cc
@@ -17,15 +17,22 @@
 constexpr milliseconds kReopenTimeout{1200};
 // The timeout doubles with each reopening in a row, up to this many times.
 constexpr int kMaxTimeoutDoublings = 2;
-// Longest wait for a connection, and for the peer to acknowledge sent bytes.
-constexpr int kConnectTimeoutMs = 250;
+// Longest wait for the peer to acknowledge sent bytes.
 constexpr int kTcpMaxRetransmitMs = 3000;
-// Time between two attempts to connect, to which ZeroMQ adds up to the same
-// time at random. Short at first, because after an outage of the whole fleet
-// callers wait for the first update.
-constexpr int kReconnectMs = 30;
-// The same for a connection that was reopened without having received anything.
-constexpr int kSlowReconnectMs = 150;
+
+// How a connection is established. A host without power doesn't answer an
+// attempt to connect, so the next attempt is made after `timeout_ms` and a
+// random time from `pause_ms` to twice that.
+struct connect_pace {
+  int timeout_ms;
+  int pause_ms;
+};
+// Short at first, because callers wait for the first update after an outage of
+// the whole fleet.
+constexpr connect_pace kFirstConnectPace{.timeout_ms = 80, .pause_ms = 20};
+// For connections that were reopened because nothing was received, also to
+// instances that are so far away that the first timeout is too short.
+constexpr connect_pace kReopenConnectPace{.timeout_ms = 400, .pause_ms = 100};
 
 void ConfigureSocket(zmq::socket_t* socket) {
   socket->set(zmq::sockopt::linger, 0);
@@ -47,13 +54,13 @@
   listener_ = std::move(listener);
 }
 
-zmq::socket_t fleet_links::Connect(const instance_name& control,
-                                   int reconnect_ms) {
+zmq::socket_t fleet_links::Connect(const instance_name& control, bool reopen) {
+  const connect_pace& pace = reopen ? kReopenConnectPace : kFirstConnectPace;
   zmq::socket_t socket(*context_, zmq::socket_type::dealer);
   ConfigureSocket(&socket);
   socket.set(zmq::sockopt::immediate, true);
-  socket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
-  socket.set(zmq::sockopt::reconnect_ivl, reconnect_ms);
+  socket.set(zmq::sockopt::connect_timeout, pace.timeout_ms);
+  socket.set(zmq::sockopt::reconnect_ivl, pace.pause_ms);
   socket.connect("tcp://" + control.value + ":" +
                  std::to_string(peer_port_.value));
   return socket;
@@ -64,8 +71,7 @@
   auto it = connections_.find(control);
   if (it == connections_.end()) {
     if (!ParseIpv4(control.value)) return false;
-    it = connections_
-             .emplace(control, connection{Connect(control, kReconnectMs), now})
+    it = connections_.emplace(control, connection{Connect(control, false), now})
              .first;
   }
   const std::string bytes = message.SerializeAsString();
@@ -137,7 +143,7 @@
         std::min(it->second.consecutive_reopens, kMaxTimeoutDoublings);
     if (now - it->second.last_received_at > kReopenTimeout * (1 << doublings)) {
       ++reopened_;
-      it->second = {Connect(it->first, kSlowReconnectMs), now,
+      it->second = {Connect(it->first, true), now,
                     it->second.consecutive_reopens + 1};
     }
     ++it;
--- a/Source/Runtime/fleet_links.h
+++ b/Source/Runtime/fleet_links.h
@@ -61,7 +61,8 @@
     int consecutive_reopens = 0;  // Since the last received message.
   };
 
-  zmq::socket_t Connect(const instance_name& control, int reconnect_ms);
+  // `reopen`: an earlier connection to it received nothing for too long.
+  zmq::socket_t Connect(const instance_name& control, bool reopen);
   std::optional<wire::fleet_message> Parse(const zmq::message_t& body);
 
   zmq::context_t* context_;
--- a/Source/Runtime/fleet_queries.cc
+++ b/Source/Runtime/fleet_queries.cc
@@ -75,6 +75,9 @@
   for (const auto& [reason, count] : view.counts.packets) {
     out.AddSample(FormatLabel("reason", ToString(reason)), count);
   }
+  out.AddSingleSample("packets_held_total", "counter",
+                      "Packets that were held until the state was known.",
+                      view.counts.held);
   out.AddSingleSample(
       "packets_unaddressable_total", "counter",
       "Packets for a target whose id the packet format can't express.",
--- a/Source/Runtime/fleet_queries.h
+++ b/Source/Runtime/fleet_queries.h
@@ -19,6 +19,7 @@
 // Counters of an entry instance's event loop.
 struct entry_counts {
   std::map<forward_reason, std::uint64_t> packets;
+  std::uint64_t held = 0;  // Packets that were held until the state was known.
   std::uint64_t malformed = 0;  // Datagrams that aren't valid packets.
   // Packets for a target whose id the packet format can't express.
   std::uint64_t unaddressable = 0;
--- a/Source/Runtime/packet_socket.h
+++ b/Source/Runtime/packet_socket.h
@@ -36,13 +36,16 @@
   // byte more than the maximum was longer than allowed and may be truncated.
   bool Receive(
       const std::function<void(std::span<std::uint8_t> packet)>& handle);
-  // Queues a packet of the current batch, preceded by `prefix`. Only for calls
-  // from `handle`: the bytes of `packet` are valid until Receive returns.
+  // Queues a packet, preceded by `prefix`. Its bytes must stay valid until the
+  // queue is sent: those passed to `handle` are valid until Receive returns.
   void SendReceived(const ipv4_endpoint& to, const target_prefix& prefix,
                     std::span<std::uint8_t> packet);
   // Queues a packet that this instance generated.
   void Send(const ipv4_endpoint& to, std::vector<std::uint8_t> packet);
 
+  // Sends all queued packets.
+  void Flush();
+
   // The file descriptor, to poll for readability.
   int file() const { return file_; }
   // Packets that the kernel didn't accept.
@@ -56,8 +59,6 @@
     std::vector<std::uint8_t> generated;
   };
 
-  void Flush();
-
   // One byte more than the largest packet, to detect datagrams that are too
   // long.
   std::size_t packet_buffer_bytes_;
