Targets, Forwarding: callers of vanished targets get a reset at once

Change: entry instances report packets that targets didn't answer (opening packets and requests that the caller retransmits), and correct the report when the target answers. A control instance counts them since the target's last report; with two of them and a report that is overdue by a quarter of the interval the target becomes silent with the mark unanswered, instead of after 2.75 intervals. Entry instances then reset its recent flows (flow_cache) and later packets to it (target_lost), unless it has answered there within 400 ms. The flows of a replaced target are reset at once too. A saved report counts only until the target has reported to some control instance.

--- a/Source/Control/control_instance.cc
+++ b/Source/Control/control_instance.cc
@@ -14,6 +14,9 @@
 // A target counts as silent after this many report intervals without a report:
 // two reports were missed and most of the third interval has passed.
 constexpr double kSilentAfterHeartbeats = 2.75;
+// The same for a target that doesn't answer callers' packets either: its next
+// report is overdue.
+constexpr double kUnansweredSilentAfterHeartbeats = 1.25;
 // Time for which an ended or silent target stays registered. Longer than a
 // report can be in transit, so that a delayed report of an ended target is
 // still recognized as outdated.
@@ -57,9 +60,13 @@
                   .seed = settings_.seed,
                   .limits = settings_.limits},
                  Hooks()),
-      targets_({.silent_after = std::chrono::duration_cast<milliseconds>(
-                    settings_.heartbeat_interval * kSilentAfterHeartbeats),
-                .forget_after = kTargetRetention}),
+      targets_(
+          {.silent_after = std::chrono::duration_cast<milliseconds>(
+               settings_.heartbeat_interval * kSilentAfterHeartbeats),
+           .forget_after = kTargetRetention,
+           .unanswered_silent_after = std::chrono::duration_cast<milliseconds>(
+               settings_.heartbeat_interval *
+               kUnansweredSilentAfterHeartbeats)}),
       follower_({.self = settings_.self,
                  .data_centre = settings_.data_centre,
                  .is_control = true,
@@ -206,6 +213,13 @@
     ReduceAgreement(agreement_message_received{from, message.agreement()});
   } else if (message.has_follow()) {
     if (message.follow().control()) follower_.AddControlName(now_, from);
+    for (const wire::unanswered_record& row : message.follow().unanswered()) {
+      if (row.packets() > 0) {
+        targets_.RecordUnanswered({row.tag()}, row.packets());
+      } else {
+        targets_.RecordAnswered({row.tag()});
+      }
+    }
     auto update = feed_.HandleFollow(now_, event.link, message.follow(),
                                      MakeFeedContent());
     effects_.emplace_back(
--- a/Source/Entry/entry_instance.cc
+++ b/Source/Entry/entry_instance.cc
@@ -20,6 +20,9 @@
 // instances, once the first one has sent its targets. Otherwise the few targets
 // that are known first would get all connections.
 constexpr milliseconds kMaxOpeningWait{40};
+// Shortest time between two reports of unanswered packets to the control
+// instances.
+constexpr milliseconds kUnansweredReportInterval{150};
 // Limits of the held packets. Callers abandon an attempt to connect after 1.4 s
 // and retransmit other packets after at most 1.6 s.
 constexpr held_packet_limits kHeldPacketLimits{.packets = 512,
@@ -70,11 +73,32 @@
 std::vector<follower_event> entry_instance::Receive(
     instant now, const wire::fleet_message& message) {
   if (!message.has_update()) return {};
-  return follower_.Apply(now, {message.from()}, message.update());
+  auto events = follower_.Apply(now, {message.from()}, message.update());
+  for (const follower_event& event : events) {
+    const auto* change = std::get_if<target_change>(&event);
+    if (change == nullptr) continue;
+    CollectLostFlows(now, change->id);
+    if (change->replaced) CollectLostFlows(now, *change->replaced);
+  }
+  return events;
+}
+
+void entry_instance::CollectLostFlows(instant now, const target_id& id) {
+  const known_target* target = follower_.state().targets.Find(id);
+  if (target == nullptr) return;
+  for (flow_packet& flow : router_.TakeLostFlows(now, *target)) {
+    lost_flows_.push_back(std::move(flow));
+  }
 }
 
 std::vector<follow_request> entry_instance::Requests(instant now) {
-  return follower_.Requests(now, router_.demand().Rates(now));
+  unanswered_report unanswered;
+  if (router_.unanswered().has_unreported() &&
+      now - last_unanswered_report_ >= kUnansweredReportInterval) {
+    last_unanswered_report_ = now;
+    unanswered = router_.unanswered().TakeReport(now);
+  }
+  return follower_.Requests(now, router_.demand().Rates(now), unanswered);
 }
 
 std::vector<follower_event> entry_instance::Tick(instant now) {
--- a/Source/Entry/entry_instance.h
+++ b/Source/Entry/entry_instance.h
@@ -5,6 +5,7 @@
 #define LAVENDERTACK_ENTRY_ENTRY_INSTANCE_H_
 
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "Common/instant.h"
@@ -43,6 +44,11 @@
   // events for the log.
   std::vector<follower_event> Receive(instant now,
                                       const wire::fleet_message& message);
+  // The last packet of each recent flow whose target was found to be lost since
+  // the last call. The callers should get a reset.
+  std::vector<flow_packet> TakeLostFlows() {
+    return std::exchange(lost_flows_, {});
+  }
   // Requests to control instances that are due at `now`.
   std::vector<follow_request> Requests(instant now);
   // Call it when a request couldn't be sent.
@@ -69,6 +75,8 @@
   const flow_router& router() const { return router_; }
 
  private:
+  // Adds the flows of the target to `lost_flows_` if it is lost or replaced.
+  void CollectLostFlows(instant now, const target_id& id);
   // Why the packet can't be decided on before more of the state is known;
   // nullopt if it can.
   std::optional<forward_reason> ReasonToHold(instant now,
@@ -78,6 +86,9 @@
   control_follower follower_;
   flow_router router_;
   held_packets held_;
+  std::vector<flow_packet> lost_flows_;
+  // When unanswered packets were last reported to the control instances.
+  instant last_unanswered_report_;
   std::optional<instant> stop_requested_at_;
   instant last_packet_at_;
 };
--- a/Source/Following/control_follower.cc
+++ b/Source/Following/control_follower.cc
@@ -178,14 +178,16 @@
 }
 
 std::vector<follow_request> control_follower::Requests(
-    instant now, const std::map<service_name, requests_per_s>& demand) {
+    instant now, const std::map<service_name, requests_per_s>& demand,
+    const unanswered_report& unanswered) {
   std::vector<follow_request> requests;
   for (auto& [name, control] : controls_) {
     const bool is_retry = !IsReachable(now, name) &&
                           control.unanswered_requests < kMaxRetryRequests;
     const milliseconds interval =
         is_retry ? kRetryInterval : settings_.follow_interval;
-    if (control.last_request && now - *control.last_request < interval) {
+    if (unanswered.empty() && control.last_request &&
+        now - *control.last_request < interval) {
       continue;
     }
     control.last_request = now;
@@ -205,6 +207,11 @@
       row->set_service(service.value);
       row->set_requests_per_s(static_cast<float>(rate));
     }
+    for (const auto& [tag, packets] : unanswered) {
+      auto* row = follow->add_unanswered();
+      row->set_tag(tag.value);
+      row->set_packets(packets);
+    }
     requests.push_back({name, std::move(message)});
   }
   return requests;
--- a/Source/Following/control_follower.h
+++ b/Source/Following/control_follower.h
@@ -18,6 +18,7 @@
 #include "Common/instant.h"
 #include "Common/strong_type.h"
 #include "Forwarding/flow_router.h"
+#include "Forwarding/unanswered_packets.h"
 #include "Wire/fleet.pb.h"
 
 namespace lavendertack {
@@ -109,8 +110,10 @@
                                     const wire::update& update);
   // Returns the requests that are due at `now`. `demand` is the rate of
   // callers' requests at this instance; rates below `kMinDemand` aren't sent.
+  // If `unanswered` isn't empty, all requests are due.
   std::vector<follow_request> Requests(
-      instant now, const std::map<service_name, requests_per_s>& demand);
+      instant now, const std::map<service_name, requests_per_s>& demand,
+      const unanswered_report& unanswered = {});
   // Call it when a request couldn't be sent, as there is no connection to the
   // control instance: it's due again with the next call of `Requests`.
   void RequestNotSent(const instance_name& to);
--- a/Source/Following/target_codec.cc
+++ b/Source/Following/target_codec.cc
@@ -49,6 +49,8 @@
   record.set_data_centre(report.data_centre.value);
   record.set_slots(report.slots);
   record.set_phase(EncodePhase(report.phase));
+  record.set_unanswered(report.unanswered);
+  record.set_restored(report.restored);
   const auto cold_left =
       std::chrono::ceil<milliseconds>(target.cold_until - now).count();
   record.set_cold_left_ms(static_cast<std::uint32_t>(std::clamp<std::int64_t>(
@@ -70,7 +72,9 @@
       .data_centre = {record.data_centre()},
       .slots = record.slots(),
       .phase = *phase,
-      .cold_left = milliseconds(record.cold_left_ms())};
+      .cold_left = milliseconds(record.cold_left_ms()),
+      .unanswered = *phase == target_phase::kSilent && record.unanswered(),
+      .restored = record.restored()};
 }
 
 wire::route_record EncodeRoute(const route_change& change) {
--- a/Source/Forwarding/flow_router.cc
+++ b/Source/Forwarding/flow_router.cc
@@ -12,10 +12,13 @@
 constexpr std::size_t kMaxAttempts = 16'384;
 // Callers abandon an attempt after 1.4 s.
 constexpr milliseconds kAttemptLifetime{1500};
-// Packets are still forwarded to a terminated target for this long, because it
-// may still be answering requests that it has received. After that, its
-// callers' connections are reset.
+// Packets are still forwarded to a target that has announced its end for this
+// long, because it may still be answering requests that it has received. After
+// that, its callers' connections are reset.
 constexpr milliseconds kTerminationGrace{1000};
+// A target that has answered a caller at this instance within this time isn't
+// treated as lost.
+constexpr milliseconds kAnswerMemory{400};
 // New flows stay in the instance's data centre while its load per slot is below
 // this multiple of the mean over all data centres.
 constexpr double kLocalLoadSlack = 1.3;
@@ -56,6 +59,8 @@
       return "overloaded";
     case forward_reason::kTargetOver:
       return "target_over";
+    case forward_reason::kTargetLost:
+      return "target_lost";
     case forward_reason::kNotYetCurrent:
       return "not_yet_current";
     case forward_reason::kNoTag:
@@ -98,6 +103,7 @@
     if (packet.retransmission > 0) {
       unanswered = previous->tag;
       load_.RecordUnanswered(now, unanswered);
+      unanswered_.RecordUnanswered(unanswered);
     }
     service = previous->service;
   }
@@ -131,16 +137,28 @@
   if (packet.tag.value == 0) return drop_packet{forward_reason::kNoTag};
   if (auto attempt = attempts_.Remove(packet.flow)) {
     load_.ChangePending(now, attempt->tag, -1);
-    load_.RecordAnswered(packet.tag);
+    load_.RecordAnswered(now, packet.tag);
+    unanswered_.RecordAnswered(packet.tag);
     connect_latency_.Observe(now - attempt->sent);
     response_times_.ObserveHandshake(
         std::chrono::duration_cast<microseconds>(now - attempt->sent));
   }
   const known_target* target = state_->targets.FindByTag(packet.tag);
   if (target == nullptr) return drop_packet{forward_reason::kUnknownTag};
-  if (target->IsTerminated() && now - target->changed > kTerminationGrace) {
+  if (target->replaced ||
+      (target->IsTerminated() && now - target->changed > kTerminationGrace)) {
     return reset_caller{forward_reason::kTargetOver};
   }
+  ObserveProgress(now, packet);
+  if (IsLost(now, *target)) {
+    flows_.Remove(packet.flow);
+    return reset_caller{forward_reason::kTargetLost};
+  }
+  if (packet.resets) {
+    flows_.Remove(packet.flow);
+  } else {
+    flows_.Insert(packet);
+  }
   // The delay of packets that were queued while this process was suspended
   // isn't part of the target's response time.
   if (now - last_tick_ <= kSuspensionThreshold) {
@@ -154,6 +172,31 @@
   return forward_to_target{target, forward_reason::kFollows};
 }
 
+void flow_router::ObserveProgress(instant now, const flow_packet& packet) {
+  switch (requests_.Observe(now, packet)) {
+    case request_progress::kRetransmitted:
+      unanswered_.RecordUnanswered(packet.tag);
+      break;
+    case request_progress::kAnswered:
+      load_.RecordProgress(now, packet.tag);
+      unanswered_.RecordAnswered(packet.tag);
+      break;
+    case request_progress::kNone:
+      break;
+  }
+}
+
+bool flow_router::IsLost(instant now, const known_target& target) const {
+  return target.IsLost(now) &&
+         !load_.HasAnsweredSince(now - kAnswerMemory, target.tag);
+}
+
+std::vector<flow_packet> flow_router::TakeLostFlows(
+    instant now, const known_target& target) {
+  if (!target.replaced && !IsLost(now, target)) return {};
+  return flows_.TakeFlowsOf(target.tag);
+}
+
 const service_name& flow_router::PickService(const route& matched_route) {
   std::uint64_t total = 0;
   for (const traffic_share& share : matched_route.shares) total += share.weight;
@@ -176,8 +219,8 @@
     if (!target->AcceptsNewFlows(now)) continue;
     if (state_->closed.contains(target->report.data_centre)) continue;
     open_slots_ += SlotsOf(*target);
-    const bool is_suspect =
-        target->tag == unanswered || load_.IsSuspect(now, target->tag);
+    const bool is_suspect = target->tag == unanswered || target->IsLost(now) ||
+                            load_.IsSuspect(now, target->tag);
     if (is_suspect) {
       suspects_.push_back(target);
     } else {
--- a/Source/Forwarding/flow_router.h
+++ b/Source/Forwarding/flow_router.h
@@ -16,11 +16,14 @@
 #include "Common/instant.h"
 #include "Common/latency_histogram.h"
 #include "Forwarding/demand.h"
+#include "Forwarding/flow_cache.h"
 #include "Forwarding/open_attempts.h"
 #include "Forwarding/overload.h"
 #include "Forwarding/packet.h"
+#include "Forwarding/request_tracker.h"
 #include "Forwarding/response_time_estimator.h"
 #include "Forwarding/target_load.h"
+#include "Forwarding/unanswered_packets.h"
 #include "Manifest/manifest.h"
 #include "Targets/target_view.h"
 
@@ -84,6 +87,13 @@
     return refusal_levels_;
   }
   const demand_meter& demand() const { return demand_; }
+  // Packets that targets didn't answer, to be reported to the control
+  // instances.
+  unanswered_packets& unanswered() { return unanswered_; }
+  // If the target is lost or replaced, returns the last packet of each of its
+  // recent flows, whose callers should get a reset.
+  std::vector<flow_packet> TakeLostFlows(instant now,
+                                         const known_target& target);
   // Time from the last opening packet of a connection to the caller's next
   // packet, which confirms that the target has accepted it.
   const latency_histogram& connect_latency() const { return connect_latency_; }
@@ -93,6 +103,10 @@
   forward_decision PlaceFlow(instant now, const flow_packet& packet);
   // Forwards a packet of an open connection to the target of its tag.
   forward_decision ForwardFollowing(instant now, const flow_packet& packet);
+  // Updates the observations of the target by a packet of an open connection.
+  void ObserveProgress(instant now, const flow_packet& packet);
+  // Whether the target is lost, also as far as this instance has observed.
+  bool IsLost(instant now, const known_target& target) const;
   // Draws a service at random, by the weights of the route's shares.
   const service_name& PickService(const route& matched_route);
   // Sets `candidates_` and `open_slots_`. `unanswered` is the target that
@@ -118,6 +132,9 @@
   target_load load_;
   open_attempts attempts_;
   response_time_estimator response_times_;
+  request_tracker requests_;
+  unanswered_packets unanswered_;
+  flow_cache flows_;
   instant last_tick_;
   target_selector target_selector_;
   refusal_policy refusal_policy_ = RefusedShare;
--- a/Source/Forwarding/packet.h
+++ b/Source/Forwarding/packet.h
@@ -40,6 +40,7 @@
   kNoTarget,       // No target of the service accepts new connections.
   kOverloaded,     // The service's slots are needed for higher priorities.
   kTargetOver,     // The connection's target is gone or was replaced.
+  kTargetLost,     // The connection's target doesn't answer or report.
   kNotYetCurrent,  // This instance has no manifest yet.
   kNoTag,          // The packet doesn't open a connection and has no tag.
   kUnknownTag,     // This instance has no target with that tag.
--- a/Source/Forwarding/target_load.cc
+++ b/Source/Forwarding/target_load.cc
@@ -47,11 +47,20 @@
   ++target.unanswered;
 }
 
-void target_load::RecordAnswered(target_tag tag) {
+void target_load::RecordAnswered(instant now, target_tag tag) {
+  state& target = GetOrCreateState(now, tag);
+  target.unanswered = 0;
+  target.suspect_until = {};
+  target.last_answered = now;
+}
+
+void target_load::RecordProgress(instant now, target_tag tag) {
+  GetOrCreateState(now, tag).last_answered = now;
+}
+
+bool target_load::HasAnsweredSince(instant since, target_tag tag) const {
   auto it = states_.find(tag);
-  if (it == states_.end()) return;
-  it->second.unanswered = 0;
-  it->second.suspect_until = {};
+  return it != states_.end() && it->second.last_answered >= since;
 }
 
 void target_load::ChangePending(instant now, target_tag tag, int change) {
--- a/Source/Forwarding/target_load.h
+++ b/Source/Forwarding/target_load.h
@@ -27,7 +27,9 @@
   void RecordUnanswered(instant now, target_tag tag);
   // The caller sent the next packet of a connection, so the target has accepted
   // it. Clears the suspicion.
-  void RecordAnswered(target_tag tag);
+  void RecordAnswered(instant now, target_tag tag);
+  // The caller has received an answer of the target on an open connection.
+  void RecordProgress(instant now, target_tag tag);
   // Changes the number of opening packets whose outcome isn't known: +1 when
   // one is forwarded, -1 when its outcome is known or it expires.
   void ChangePending(instant now, target_tag tag, int change);
@@ -35,6 +37,8 @@
   // Number of requests that this instance forwarded to the target, decayed with
   // a window of 2 s.
   double RecentRequests(instant now, target_tag tag) const;
+  // Whether an answer was recorded at `since` or later.
+  bool HasAnsweredSince(instant since, target_tag tag) const;
   // Whether new connections should go to other targets, if there are any.
   bool IsSuspect(instant now, target_tag tag) const;
 
@@ -48,6 +52,7 @@
     std::uint32_t unanswered = 0;  // Consecutive unanswered connections.
     // While `unanswered` is above 0, the target is suspect until this time.
     instant suspect_until;
+    instant last_answered;
     int pending = 0;  // Opening packets without a known outcome.
   };
 
--- a/Source/Model/fleet_model.cc
+++ b/Source/Model/fleet_model.cc
@@ -212,9 +212,26 @@
   } else if (entries_[i].generation ==
              std::stoull(to.value.substr(second + 1))) {
     entries_[i].instance->Receive(Now(), message);
+    for (const flow_packet& packet : entries_[i].instance->TakeLostFlows()) {
+      queue_.ScheduleAfter(kCallerDelay,
+                           [this, key = packet.flow] { HandleLostFlow(key); });
+    }
   }
 }
 
+void fleet_model::HandleLostFlow(const flow_key& key) {
+  const auto it = last_requests_.find(key);
+  const request_ref request =
+      it == last_requests_.end() ? nullptr : it->second.lock();
+  if (request == nullptr || request->flow->key != key) return;
+  const flow_ref flow = request->flow;
+  if (flow->closed) return;
+  if (targets_[flow->target].alive) ++result_.broken_flows;
+  flow->closed = true;
+  std::erase(idle_flows_[{flow->class_index, flow->data_centre}], flow);
+  EndTry(request, false, false);
+}
+
 void fleet_model::StartEntry(std::size_t i) {
   entry_state& entry = entries_[i];
   std::vector<instance_name> seeds;
@@ -242,6 +259,9 @@
   if (entry.generation != generation) return;
   entry.instance->Tick(Now());
   for (follow_request& request : entry.instance->Requests(Now())) {
+    if (!policy_.report_unanswered) {
+      request.message.mutable_follow()->clear_unanswered();
+    }
     SendToControl(
         request.to,
         {"entry " + std::to_string(i) + " " + std::to_string(generation)},
@@ -405,6 +425,7 @@
     request->flow = idle[index];
     idle[index] = idle.back();
     idle.pop_back();
+    last_requests_[request->flow->key] = request;
     SendRequest(request, kFirstResendInterval);
     return;
   }
@@ -416,6 +437,7 @@
       RouteOf(request->class_index)};
   request->flow->class_index = request->class_index;
   request->flow->data_centre = request->data_centre;
+  last_requests_[request->flow->key] = request;
   SendOpeningPacket(request, 0);
 }
 
--- a/Source/Model/fleet_model.h
+++ b/Source/Model/fleet_model.h
@@ -101,6 +101,8 @@
   // request that isn't repeatable is tried again only if it certainly hasn't
   // run.
   void EndTry(const request_ref& request, bool refused, bool certainly_not_run);
+  // The flow was reset by an entry instance that found its target to be lost.
+  void HandleLostFlow(const flow_key& key);
   // Counts the request as refused or failed.
   void RecordUnserved(const request_ref& request, bool refused);
 
@@ -131,6 +133,8 @@
   // Open flows without a pending request, by class and data centre.
   std::map<std::pair<std::size_t, std::size_t>, std::vector<flow_ref>>
       idle_flows_;
+  // The request that used each flow last.
+  std::unordered_map<flow_key, std::weak_ptr<request_state>> last_requests_;
   std::uint32_t last_caller_number_ = 0;
   std::uint64_t last_order_id_ = 0;
   instant traffic_start_;
--- a/Source/Model/scenario.h
+++ b/Source/Model/scenario.h
@@ -72,6 +72,8 @@
 struct model_policy {
   model_placement placement = model_placement::kByLoad;
   bool refuse_overload = true;  // Whether new flows are refused on overload.
+  // Whether entry instances report the packets that targets don't answer.
+  bool report_unanswered = true;
 };
 
 // Returns nothing if `name` isn't in ScenarioNames(). `load` multiplies the
--- a/Source/Runtime/control_loop.cc
+++ b/Source/Runtime/control_loop.cc
@@ -329,6 +329,7 @@
          {"started_ms", static_cast<std::int64_t>(report.version.started_ms)},
          {"sequence", static_cast<std::int64_t>(report.version.sequence)},
          {"cold_left_ms", report.cold_left.count()},
+         {"unanswered", report.unanswered},
          {"outdated", effect.result == report_result::kOutdated}});
   }
   void Apply(const voters_planned& effect) {
--- a/Source/Runtime/entry_loop.cc
+++ b/Source/Runtime/entry_loop.cc
@@ -95,6 +95,7 @@
         }
       });
       HandleHeldPackets();
+      ResetLostFlows();
       queries_.AnswerAll([this](const std::string& path) {
         counts_.unsent = packet_socket_.unsent();
         return AnswerEntryQuery(
@@ -192,6 +193,14 @@
     packet_socket_.Flush();
   }
 
+  void ResetLostFlows() {
+    const instant now = Now();
+    for (const flow_packet& flow : entry_.TakeLostFlows()) {
+      Apply(now, flow, {}, reset_caller{forward_reason::kTargetLost});
+    }
+    packet_socket_.Flush();
+  }
+
   // Applies any decision except hold_packet.
   void Apply(instant now, const flow_packet& packet,
              std::span<std::uint8_t> bytes, const forward_decision& decision) {
--- a/Source/Runtime/fleet_process.cc
+++ b/Source/Runtime/fleet_process.cc
@@ -99,7 +99,8 @@
                 {"phase", ToString(target->phase)},
                 {"control", target->source.value},
                 {"started_ms", ToSigned(target->version.started_ms)},
-                {"sequence", ToSigned(target->version.sequence)}});
+                {"sequence", ToSigned(target->version.sequence)},
+                {"replaced", target->replaced ? target->replaced->value : ""}});
   } else if (const auto* refused = std::get_if<target_record_refused>(&event)) {
     log->Write("target_record_refused", {{"control", refused->from.value},
                                          {"target", refused->target.value}});
--- a/Source/Targets/target_registry.cc
+++ b/Source/Targets/target_registry.cc
@@ -7,6 +7,9 @@
 // so it varies with the delay of the reports. Only an end that is later by more
 // than this tolerance means that the target has become cold again.
 constexpr milliseconds kColdTolerance{250};
+// Unanswered packets since a target's last report from which it counts as not
+// answering. A single one may have been lost on the way.
+constexpr std::uint32_t kMinUnansweredPackets = 2;
 
 // Whether a target in this phase has ended or no longer reports.
 bool IsInactive(target_phase phase) {
@@ -37,7 +40,7 @@
 
 report_result target_registry::Report(instant now,
                                       const target_report& report) {
-  auto [it, added] = targets_.try_emplace(report.id);
+  auto [it, added] = FindOrAdd(report.id);
   registered_target& target = it->second;
   const bool is_gone = target.report.phase == target_phase::kGone;
   if (!added && (report.version < target.report.version ||
@@ -52,6 +55,7 @@
   const bool restarted =
       report.version.started_ms != target.report.version.started_ms;
   const bool changed = added || restarted || becomes_cold ||
+                       target.report.restored ||
                        report.phase != target.report.phase ||
                        report.address != target.report.address ||
                        report.service != target.report.service ||
@@ -61,6 +65,7 @@
   if (changed) target.cold_until = cold_until;
   target.report = report;
   target.last_report = now;
+  target.unanswered_packets = 0;
   if (!changed) return report_result::kUnchanged;
   RecordChange(&target);
   return report_result::kChanged;
@@ -68,9 +73,10 @@
 
 void target_registry::Restore(const target_report& report,
                               instant silent_from) {
-  auto [it, added] = targets_.try_emplace(report.id);
+  auto [it, added] = FindOrAdd(report.id);
   if (!added) return;
   it->second.report = report;
+  it->second.report.restored = true;
   it->second.last_report = silent_from - settings_.silent_after;
   RecordChange(&it->second);
 }
@@ -80,7 +86,8 @@
   auto it = targets_.find(id);
   if (it == targets_.end()) {
     if (!last) return;
-    it = targets_.emplace(id, registered_target{.report = *last}).first;
+    it = FindOrAdd(id).first;
+    it->second.report = *last;
   } else if (last && last->version > it->second.report.version) {
     it->second.report = *last;
   }
@@ -90,6 +97,35 @@
   RecordChange(&target);
 }
 
+std::pair<std::map<target_id, registered_target>::iterator, bool>
+target_registry::FindOrAdd(const target_id& id) {
+  auto result = targets_.try_emplace(id);
+  if (result.second) by_tag_.emplace(TagOf(id), id);
+  return result;
+}
+
+void target_registry::RecordUnanswered(target_tag tag, std::uint32_t packets) {
+  auto [first, last] = by_tag_.equal_range(tag);
+  for (auto it = first; it != last; ++it) {
+    targets_.at(it->second).unanswered_packets += packets;
+  }
+}
+
+void target_registry::RecordAnswered(target_tag tag) {
+  auto [first, last] = by_tag_.equal_range(tag);
+  for (auto it = first; it != last; ++it) {
+    targets_.at(it->second).unanswered_packets = 0;
+  }
+}
+
+bool target_registry::IsSilent(instant now,
+                               const registered_target& target) const {
+  const auto silence = now - target.last_report;
+  if (silence >= settings_.silent_after) return true;
+  return target.unanswered_packets >= kMinUnansweredPackets &&
+         silence >= settings_.unanswered_silent_after;
+}
+
 std::vector<target_id> target_registry::Tick(instant now) {
   std::vector<target_id> silent;
   for (auto it = targets_.begin(); it != targets_.end();) {
@@ -99,11 +135,16 @@
     if (is_inactive && silence >= settings_.forget_after) {
       by_revision_.erase(target.revision);
       republish_next_.erase(it->first);
+      std::erase_if(by_tag_, [&id = it->first](const auto& entry) {
+        return entry.second == id;
+      });
       it = targets_.erase(it);
       continue;
     }
-    if (!is_inactive && silence >= settings_.silent_after) {
+    if (!is_inactive && IsSilent(now, target)) {
       target.report.phase = target_phase::kSilent;
+      target.report.unanswered =
+          target.unanswered_packets >= kMinUnansweredPackets;
       RecordChange(&target);
       silent.push_back(it->first);
     }
--- a/Source/Targets/target_registry.h
+++ b/Source/Targets/target_registry.h
@@ -14,6 +14,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "Common/instant.h"
@@ -27,6 +29,9 @@
   milliseconds silent_after{0};
   // An ended or silent target is erased after this time without a report.
   milliseconds forget_after{0};
+  // As `silent_after`, for a target that doesn't answer callers' packets
+  // either.
+  milliseconds unanswered_silent_after{0};
 };
 
 // One target's entry in the registry.
@@ -40,6 +45,8 @@
   instant cold_until;
   // Revision of the last change.
   std::uint64_t revision = 0;
+  // Callers' packets since the last report that the target didn't answer.
+  std::uint32_t unanswered_packets = 0;
 };
 
 // How a report changed the registry.
@@ -67,9 +74,16 @@
   // empty.
   void MarkGone(instant now, const target_id& id,
                 const std::optional<target_report>& last);
+  // Records that callers had to retransmit `packets` packets to the target with
+  // the tag. Ignored if no target has it.
+  void RecordUnanswered(target_tag tag, std::uint32_t packets);
+  // Discards what was recorded of the target by `RecordUnanswered`: it has
+  // answered since.
+  void RecordAnswered(target_tag tag);
   // Sets the phase of targets without a report for `silent_after` to kSilent
-  // and returns their ids; erases ended and silent targets without a report for
-  // `forget_after`.
+  // and returns their ids. For targets that don't answer callers' packets,
+  // `unanswered_silent_after` applies. Erases ended and silent targets without
+  // a report for `forget_after`.
   std::vector<target_id> Tick(instant now);
   // The next report of each target in the data centre counts as a change even
   // if its content is the same.
@@ -85,12 +99,18 @@
   }
 
  private:
+  // Adds the target to `targets_` if it isn't registered.
+  std::pair<std::map<target_id, registered_target>::iterator, bool> FindOrAdd(
+      const target_id& id);
+  // Whether a target that isn't inactive counts as silent.
+  bool IsSilent(instant now, const registered_target& target) const;
   // Gives the target the next revision.
   void RecordChange(registered_target* target);
 
   target_registry_settings settings_;
   std::uint64_t revision_ = 0;
   std::map<target_id, registered_target> targets_;
+  std::unordered_multimap<target_tag, target_id> by_tag_;
   // Targets by the revision of their last change.
   std::map<std::uint64_t, target_id> by_revision_;
   // Targets whose next report counts as a change.
--- a/Source/Targets/target_report.h
+++ b/Source/Targets/target_report.h
@@ -15,6 +15,12 @@
 // Unique id of a target. A restarted target usually has a new id.
 using target_id = strong_type<struct target_id_tag, std::string>;
 
+// Identifies a target, in 32 bits, in the packets of its flows. 0 means no
+// target.
+using target_tag = strong_type<struct target_tag_tag, std::uint32_t>;
+// A hash of the target id, never 0. Two ids may have the same tag.
+target_tag TagOf(const target_id& id);
+
 // Orders the reports of one target id: by the start time of the target, then by
 // the sequence number since that start.
 struct report_version {
@@ -48,6 +54,11 @@
   target_phase phase = target_phase::kReady;
   // Remaining time of its cold start, in which it gets no new flows.
   milliseconds cold_left{0};
+  // With kSilent: callers' packets to the target went unanswered too.
+  bool unanswered = false;
+  // A control instance has saved the report before its restart. The target may
+  // have ended since, or report to another control instance.
+  bool restored = false;
 };
 
 }  // namespace lavendertack
--- a/Source/Targets/target_view.cc
+++ b/Source/Targets/target_view.cc
@@ -41,22 +41,48 @@
 
 // Of two targets with the same address, the one that started earlier is marked
 // as replaced.
-void target_view::ResolveAddress(instant now, known_target* target) {
+std::optional<target_id> target_view::ResolveAddress(instant now,
+                                                     known_target* target) {
   auto [it, added] =
       by_address_.try_emplace(target->report.address, target->report.id);
-  if (added || it->second == target->report.id) return;
+  if (added || it->second == target->report.id) return std::nullopt;
   auto other = targets_.find(it->second);
   if (other == targets_.end()) {
     it->second = target->report.id;
-    return;
+    return std::nullopt;
   }
   known_target* current = other->second.get();
   const bool is_newer =
       target->report.version.started_ms > current->report.version.started_ms;
   known_target* superseded = is_newer ? current : target;
   if (is_newer) it->second = target->report.id;
-  if (!superseded->replaced) superseded->changed = now;
+  if (superseded->replaced) return std::nullopt;
+  superseded->changed = now;
   superseded->replaced = true;
+  if (!is_newer) return std::nullopt;
+  return superseded->report.id;
+}
+
+// A saved report doesn't show that the target is alive, so it counts only until
+// a control instance has received one from the target itself.
+void target_view::AddSource(instant now, const report_source& source,
+                            bool restored, known_target* target) {
+  if (restored) {
+    const bool has_current_source =
+        std::any_of(target->reported_by.begin(), target->reported_by.end(),
+                    [&](const auto& other) {
+                      return other.second > now &&
+                             !target->restored_by.contains(other.first);
+                    });
+    if (has_current_source) return;
+    target->restored_by.insert(source);
+  } else {
+    for (const report_source& other : target->restored_by) {
+      target->reported_by.erase(other);
+    }
+    target->restored_by.clear();
+  }
+  target->reported_by[source] = instant::max();
 }
 
 std::optional<target_change> target_view::Apply(instant now,
@@ -79,19 +105,23 @@
     target.tag = TagOf(report.id);
     target.cold_until = now + report.cold_left;
     target.changed = now;
+    target.unanswered = report.unanswered;
     AddToIndexes(&target);
-    ResolveAddress(now, &target);
+    auto replaced = ResolveAddress(now, &target);
     if (is_silence_report) return std::nullopt;
     if (report.phase != target_phase::kGone) {
-      target.reported_by[source] = instant::max();
+      AddSource(now, source, report.restored, &target);
     }
-    return target_change{report.id, report.phase, source, report.version};
+    return target_change{report.id, report.phase, source, report.version,
+                         std::move(replaced)};
   }
   known_target& target = *it->second;
   const bool is_outdated = report.version < target.report.version;
   const bool was_reporting = target.IsReporting(now);
   if (is_silence_report) {
     target.reported_by.erase(source);
+    target.restored_by.erase(source);
+    if (!target.IsReporting(now)) target.unanswered |= report.unanswered;
     if (!was_reporting || target.IsReporting(now)) return std::nullopt;
     target.changed = now;
     return target_change{report.id, report.phase, source, report.version};
@@ -108,16 +138,19 @@
   RemoveFromIndexes(&target);
   target.report = report;
   target.cold_until = now + report.cold_left;
+  target.unanswered = false;
   AddToIndexes(&target);
   if (report.phase == target_phase::kGone) {
     target.reported_by.clear();
+    target.restored_by.clear();
   } else {
-    target.reported_by[source] = instant::max();
+    AddSource(now, source, report.restored, &target);
   }
-  ResolveAddress(now, &target);
+  auto replaced = ResolveAddress(now, &target);
   if (!is_change) return std::nullopt;
   target.changed = now;
-  return target_change{report.id, report.phase, source, report.version};
+  return target_change{report.id, report.phase, source, report.version,
+                       std::move(replaced)};
 }
 
 void target_view::ExpireSource(const report_source& source, instant until) {
--- a/Source/Targets/target_view.h
+++ b/Source/Targets/target_view.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -16,12 +17,6 @@
 
 namespace lavendertack {
 
-// Identifies a target, in 32 bits, in the packets of its flows. 0 means no
-// target.
-using target_tag = strong_type<struct target_tag_tag, std::uint32_t>;
-// A hash of the target id, never 0. Two ids may have the same tag.
-target_tag TagOf(const target_id& id);
-
 // The control instance that forwarded a report.
 using report_source = instance_name;
 
@@ -37,9 +32,15 @@
   // Control instances that receive its reports, each with the time until which
   // its information is valid: instant::max() while the instance is reachable.
   std::map<report_source, instant> reported_by;
+  // Those of `reported_by` that only have a saved report, from before their
+  // restart.
+  std::set<report_source> restored_by;
   // A target that started later has reported with the same address. Stays set
   // until the target itself restarts.
   bool replaced = false;
+  // Callers' packets to it went unanswered when its reports stopped. Its next
+  // report resets this.
+  bool unanswered = false;
 
   // No packet can reach the target any more, as it is gone or replaced.
   bool IsTerminated() const {
@@ -53,6 +54,8 @@
   }
   // Whether at least one control instance receives its reports.
   bool IsReporting(instant now) const;
+  // Whether it neither reports nor answers callers' packets.
+  bool IsLost(instant now) const { return unanswered && !IsReporting(now); }
 };
 
 // A change of a target's state in the view, to be logged.
@@ -61,6 +64,8 @@
   target_phase phase;
   report_source source;
   report_version version;
+  // The target that had the same address before.
+  std::optional<target_id> replaced = std::nullopt;
 };
 
 // Not thread-safe; all times are passed in.
@@ -91,8 +96,12 @@
   }
 
  private:
-  // Marks one of two targets with the same address as replaced.
-  void ResolveAddress(instant now, known_target* target);
+  // Marks one of two targets with the same address as replaced. Returns the
+  // other one if it is replaced by `target` now.
+  std::optional<target_id> ResolveAddress(instant now, known_target* target);
+  // Records that `source` has the report of the target.
+  static void AddSource(instant now, const report_source& source, bool restored,
+                        known_target* target);
   void AddToIndexes(known_target* target);
   void RemoveFromIndexes(const known_target* target);
 
--- a/Source/UnitTests/Forwarding/flow_router_test.cc
+++ b/Source/UnitTests/Forwarding/flow_router_test.cc
@@ -40,6 +40,22 @@
     state.targets.Apply(now, kControl, report);
   }
 
+  // The target neither reports nor answers callers.
+  void LoseTarget(const target_id& id) {
+    target_report silence = state.targets.Find(id)->report;
+    silence.phase = target_phase::kSilent;
+    silence.unanswered = true;
+    state.targets.Apply(now, kControl, silence);
+  }
+
+  // Another target starts at the address of `id`.
+  void ReplaceTarget(const target_id& id, const std::string& by) {
+    target_report report = state.targets.Find(id)->report;
+    report.id = {by};
+    report.version = {2000, 1};
+    state.targets.Apply(now, kControl, report);
+  }
+
   flow_packet OpeningPacket(std::uint32_t caller,
                             std::uint32_t retransmission = 0,
                             const ipv4_endpoint& route = kRoute) const {
@@ -190,6 +206,70 @@
   }
 }
 
+// Replays a target that vanishes without notice while connections are open to
+// it.
+TEST_CASE("connections to a lost target are reset") {
+  router_fixture setup;
+  setup.AddTarget("i-1", "a");
+  const target_id target{"i-1"};
+  const flow_packet request = setup.FollowingPacket(1, target);
+  REQUIRE(setup.ReasonOf(request) == forward_reason::kFollows);
+  setup.now += milliseconds(200);
+
+  SECTION("a retransmitted request is reported as unanswered") {
+    REQUIRE(setup.ReasonOf(request) == forward_reason::kFollows);
+    REQUIRE(setup.router.unanswered().TakeReport(setup.now) ==
+            unanswered_report{{TagOf(target), 1}});
+  }
+  SECTION("an answered one isn't") {
+    flow_packet next = setup.FollowingPacket(1, target, 0);
+    next.acknowledged += 1000;
+    setup.ReasonOf(next);
+    REQUIRE_FALSE(setup.router.unanswered().has_unreported());
+  }
+  SECTION("once the control instances find the target to be lost") {
+    setup.LoseTarget(target);
+    const known_target& lost = *setup.state.targets.Find(target);
+    SECTION("by the caller's next packet") {
+      REQUIRE(setup.ReasonOf(request) == forward_reason::kTargetLost);
+    }
+    SECTION("or before it") {
+      const auto flows = setup.router.TakeLostFlows(setup.now, lost);
+      REQUIRE(flows.size() == 1);
+      REQUIRE(flows.front().flow == request.flow);
+      REQUIRE(flows.front().acknowledged == request.acknowledged);
+      REQUIRE(setup.router.TakeLostFlows(setup.now, lost).empty());
+    }
+    SECTION("new connections go to other targets") {
+      setup.AddTarget("i-2", "a");
+      REQUIRE_FALSE(setup.OpenFlows(50).contains("i-1"));
+    }
+  }
+  SECTION("not if the target has just answered at this instance") {
+    flow_packet answered = setup.FollowingPacket(1, target, 0);
+    answered.acknowledged += 1000;
+    setup.ReasonOf(answered);
+    setup.LoseTarget(target);
+    REQUIRE(setup.ReasonOf(request) == forward_reason::kFollows);
+    REQUIRE(
+        setup.router.TakeLostFlows(setup.now, *setup.state.targets.Find(target))
+            .empty());
+    setup.now += milliseconds(401);
+    REQUIRE(setup.ReasonOf(request) == forward_reason::kTargetLost);
+  }
+  SECTION("a target that only stopped reporting keeps its connections") {
+    setup.AddTarget("i-1", "a", target_phase::kSilent);
+    REQUIRE(setup.ReasonOf(request) == forward_reason::kFollows);
+  }
+  SECTION("a target that was replaced at its address loses them at once") {
+    setup.ReplaceTarget(target, "i-2");
+    REQUIRE(
+        setup.router.TakeLostFlows(setup.now, *setup.state.targets.Find(target))
+            .size() == 1);
+    REQUIRE(setup.ReasonOf(request) == forward_reason::kTargetOver);
+  }
+}
+
 TEST_CASE("a target that doesn't answer new connections is avoided") {
   router_fixture setup;
   setup.AddTarget("i-1", "a");
--- a/Source/UnitTests/Model/fleet_model_test.cc
+++ b/Source/UnitTests/Model/fleet_model_test.cc
@@ -75,6 +75,33 @@
   });
 }
 
+// Requests that failed or were answered late.
+std::uint64_t CountMissed(const model_result& result) {
+  std::uint64_t missed = 0;
+  for (const auto& [name, counts] : result.classes) {
+    missed += counts.failed + counts.late;
+  }
+  return missed;
+}
+
+// Replays targets that crash without notice while callers have flows open to
+// them. Requests that a target was working on when it crashed are missed in any
+// case.
+TEST_CASE("callers of crashed targets can repeat their requests in time") {
+  std::uint64_t missed = 0;
+  std::uint64_t missed_without_reports = 0;
+  ForEachSeed([&](std::uint64_t seed) {
+    INFO("seed " << seed);
+    const model_result result = RunScenario("crash", 1.0, {}, seed);
+    CheckSums(result);
+    REQUIRE(result.broken_flows == 0);
+    missed += CountMissed(result);
+    missed_without_reports += CountMissed(
+        RunScenario("crash", 1.0, {.report_unanswered = false}, seed));
+  });
+  REQUIRE(missed < missed_without_reports);
+}
+
 TEST_CASE("planned changes break no flow") {
   ForEachSeed([](std::uint64_t seed) {
     INFO("seed " << seed);
--- a/Source/UnitTests/Targets/target_registry_test.cc
+++ b/Source/UnitTests/Targets/target_registry_test.cc
@@ -7,6 +7,7 @@
 
 constexpr milliseconds kSilentAfter{3000};
 constexpr milliseconds kForgetAfter{60'000};
+constexpr milliseconds kUnansweredSilentAfter{1500};
 
 target_report Report(std::uint64_t sequence,
                      target_phase phase = target_phase::kReady) {
@@ -21,7 +22,8 @@
 }
 
 TEST_CASE("the registry tracks the targets that report to a control instance") {
-  target_registry registry({kSilentAfter, kForgetAfter});
+  target_registry registry(
+      {kSilentAfter, kForgetAfter, kUnansweredSilentAfter});
   const instant start{seconds(100)};
   REQUIRE(registry.Report(start, Report(1)) == report_result::kChanged);
   const std::uint64_t revision = registry.revision();
@@ -45,6 +47,39 @@
     REQUIRE(registry.Report(start + milliseconds(1200), cold) ==
             report_result::kUnchanged);
   }
+  SECTION("a target that doesn't answer callers becomes silent sooner") {
+    const instant overdue = start + kUnansweredSilentAfter;
+    const target_tag tag = TagOf({"i-7f"});
+    registry.RecordUnanswered(tag, 1);
+    registry.RecordUnanswered(TagOf({"i-other"}), 5);
+    REQUIRE(registry.Tick(overdue).empty());
+    registry.RecordUnanswered(tag, 1);
+    REQUIRE(registry.Tick(overdue - milliseconds(1)).empty());
+
+    SECTION("when its next report is overdue") {
+      REQUIRE(registry.Tick(overdue).size() == 1);
+      const target_report& silent = registry.targets().at({"i-7f"}).report;
+      REQUIRE(silent.phase == target_phase::kSilent);
+      REQUIRE(silent.unanswered);
+
+      SECTION("until it reports again") {
+        REQUIRE(registry.Report(overdue, Report(2)) == report_result::kChanged);
+        REQUIRE_FALSE(registry.targets().at({"i-7f"}).report.unanswered);
+        REQUIRE(registry.Tick(overdue).empty());
+      }
+    }
+    SECTION("unless it has answered since") {
+      registry.RecordAnswered(tag);
+      REQUIRE(registry.Tick(overdue).empty());
+      REQUIRE(registry.Tick(start + kSilentAfter).size() == 1);
+      REQUIRE_FALSE(registry.targets().at({"i-7f"}).report.unanswered);
+    }
+    SECTION("unless it has reported since") {
+      registry.Report(start + milliseconds(1200), Report(2));
+      REQUIRE(registry.Tick(start + milliseconds(1200) + kUnansweredSilentAfter)
+                  .empty());
+    }
+  }
   SECTION("a target ends") {
     registry.MarkGone(start, {"i-7f"}, std::nullopt);
     REQUIRE(registry.targets().at({"i-7f"}).report.phase ==
--- a/Source/UnitTests/Targets/target_view_test.cc
+++ b/Source/UnitTests/Targets/target_view_test.cc
@@ -35,6 +35,75 @@
          target->IsReporting(now);
 }
 
+TEST_CASE("a target that neither reports nor answers callers is lost") {
+  target_view view;
+  target_report silence = Report("i-1", 1000, 4, target_phase::kSilent);
+  silence.unanswered = true;
+  const auto is_lost = [&view] { return view.Find({"i-1"})->IsLost(kNow); };
+  view.Apply(kNow, kFirstControl, Report("i-1", 1000, 4));
+  REQUIRE_FALSE(is_lost());
+
+  SECTION("according to the control instance that received its reports") {
+    REQUIRE(view.Apply(kNow, kFirstControl, silence).has_value());
+    REQUIRE(is_lost());
+
+    SECTION("until it reports again") {
+      view.Apply(kNow, kSecondControl, Report("i-1", 1000, 5));
+      REQUIRE_FALSE(is_lost());
+    }
+  }
+  SECTION("not while it reports to another control instance") {
+    view.Apply(kNow, kSecondControl, Report("i-1", 1000, 5));
+    view.Apply(kNow, kFirstControl, silence);
+    REQUIRE_FALSE(is_lost());
+  }
+  SECTION("not if it may still answer callers") {
+    silence.unanswered = false;
+    view.Apply(kNow, kFirstControl, silence);
+    REQUIRE_FALSE(is_lost());
+  }
+}
+
+TEST_CASE("a saved report of a restarted control instance") {
+  target_view view;
+  target_report saved = Report("i-1", 1000, 3);
+  saved.restored = true;
+  const target_report silence = Report("i-1", 1000, 4, target_phase::kSilent);
+
+  SECTION("counts while there is no other one") {
+    view.Apply(kNow, kFirstControl, saved);
+    REQUIRE(IsCandidate(view, "i-1"));
+    SECTION("and not after a report from the target") {
+      view.Apply(kNow, kSecondControl, Report("i-1", 1000, 4));
+      view.Apply(kNow, kSecondControl, silence);
+      REQUIRE_FALSE(IsCandidate(view, "i-1"));
+    }
+    SECTION("and is confirmed by the target") {
+      view.Apply(kNow, kFirstControl, Report("i-1", 1000, 4));
+      view.Apply(kNow, kSecondControl, silence);
+      REQUIRE(IsCandidate(view, "i-1"));
+    }
+  }
+  SECTION("doesn't count beside a report from the target") {
+    view.Apply(kNow, kSecondControl, Report("i-1", 1000, 3));
+    view.Apply(kNow, kFirstControl, saved);
+    REQUIRE(IsCandidate(view, "i-1"));
+    view.Apply(kNow, kSecondControl, silence);
+    REQUIRE_FALSE(IsCandidate(view, "i-1"));
+  }
+}
+
+TEST_CASE("a change names the target that was replaced at the address") {
+  target_view view;
+  view.Apply(kNow, kFirstControl, Report("i-1", 1000, 4));
+  const auto change = view.Apply(kNow, kFirstControl, Report("i-2", 2000, 1));
+  REQUIRE(change->replaced == target_id{"i-1"});
+  REQUIRE(view.Find({"i-1"})->replaced);
+  const auto next = view.Apply(kNow, kFirstControl,
+                               Report("i-2", 2000, 2, target_phase::kDraining));
+  REQUIRE_FALSE(next->replaced.has_value());
+}
+
 TEST_CASE("the view merges the reports of several control instances") {
   target_view view;
   view.Apply(kNow, kFirstControl, Report("i-1", 1000, 4));
