Entry, Forwarding: held packets are decided on in place

Cause: each iteration of the loop removed all held packets and added those that still couldn't be decided on; with 512 packets that is 262,000 comparisons, up to 100 times a second while the instance waits for the state. Read in the code, not seen in a run. A cached flow had no age: a caller may have closed it long ago.

Change: held_packets::TakeIf decides in place; flows that were idle for 15 s aren't reset from the cache.

--- a/Source/Entry/entry_instance.cc
+++ b/Source/Entry/entry_instance.cc
@@ -86,9 +86,8 @@
 void entry_instance::CollectLostFlows(instant now, const target_id& id) {
   const known_target* target = follower_.state().targets.Find(id);
   if (target == nullptr) return;
-  for (flow_packet& flow : router_.TakeLostFlows(now, *target)) {
-    lost_flows_.push_back(std::move(flow));
-  }
+  const auto flows = router_.TakeLostFlows(now, *target);
+  lost_flows_.insert(lost_flows_.end(), flows.begin(), flows.end());
 }
 
 std::vector<follow_request> entry_instance::Requests(instant now) {
--- a/Source/Entry/held_packets.cc
+++ b/Source/Entry/held_packets.cc
@@ -1,7 +1,6 @@
 #include "Entry/held_packets.h"
 
-#include <algorithm>
-#include <iterator>
+#include <utility>
 
 namespace lavendertack {
 namespace {
@@ -18,11 +17,7 @@
   std::erase_if(packets_, [&packet](const held_packet& other) {
     return IsSamePacket(packet.packet, other.packet);
   });
-  // A packet that is held again was received before others.
-  const auto position = std::upper_bound(
-      packets_.begin(), packets_.end(), packet.received_at,
-      [](instant at, const auto& other) { return at < other.received_at; });
-  packets_.insert(position, std::move(packet));
+  packets_.push_back(std::move(packet));
   if (packets_.size() <= limits_.packets) return std::nullopt;
   held_packet oldest = std::move(packets_.front());
   packets_.pop_front();
@@ -39,10 +34,14 @@
   return expired;
 }
 
-std::vector<held_packet> held_packets::TakeAll() {
-  std::vector<held_packet> taken(std::make_move_iterator(packets_.begin()),
-                                 std::make_move_iterator(packets_.end()));
-  packets_.clear();
+std::vector<held_packet> held_packets::TakeIf(
+    const std::function<bool(const held_packet&)>& decide) {
+  std::vector<held_packet> taken;
+  std::erase_if(packets_, [&](held_packet& packet) {
+    if (!decide(packet)) return false;
+    taken.push_back(std::move(packet));
+    return true;
+  });
   return taken;
 }
 
--- a/Source/Entry/held_packets.h
+++ b/Source/Entry/held_packets.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -40,8 +41,10 @@
   std::optional<held_packet> Add(held_packet packet);
   // Removes and returns the packets that are older than the maximum age.
   std::vector<held_packet> TakeExpired(instant now);
-  // Removes and returns all packets in the order of their arrival.
-  std::vector<held_packet> TakeAll();
+  // Calls `decide` for each packet in the order of their arrival, and removes
+  // and returns those for which it returns true.
+  std::vector<held_packet> TakeIf(
+      const std::function<bool(const held_packet&)>& decide);
   std::size_t size() const { return packets_.size(); }
 
  private:
--- a/Source/Forwarding/flow_cache.h
+++ b/Source/Forwarding/flow_cache.h
@@ -8,6 +8,7 @@
 
 #include <vector>
 
+#include "Common/instant.h"
 #include "Forwarding/packet.h"
 
 namespace lavendertack {
@@ -18,16 +19,22 @@
   flow_cache();
 
   // Remembers the last packet of its flow, which must have a tag.
-  void Insert(const flow_packet& packet);
+  void Insert(instant now, const flow_packet& packet);
   void Remove(const flow_key& flow);
   // Removes the flows of the target with the tag and returns the last packet of
-  // each.
-  std::vector<flow_packet> TakeFlowsOf(target_tag tag);
+  // each that had one within the last 15 s.
+  std::vector<flow_packet> TakeFlowsOf(instant now, target_tag tag);
 
  private:
-  std::vector<flow_packet>::iterator Slot(const flow_key& flow);
+  // An entry whose packet has no tag is empty.
+  struct cached_flow {
+    flow_packet packet;
+    instant last_packet;
+  };
 
-  std::vector<flow_packet> flows_;  // An entry without a tag is empty.
+  cached_flow& Slot(const flow_key& flow);
+
+  std::vector<cached_flow> flows_;
 };
 
 }  // namespace lavendertack
--- a/Source/Forwarding/flow_router.cc
+++ b/Source/Forwarding/flow_router.cc
@@ -157,7 +157,7 @@
   if (packet.resets) {
     flows_.Remove(packet.flow);
   } else {
-    flows_.Insert(packet);
+    flows_.Insert(now, packet);
   }
   // The delay of packets that were queued while this process was suspended
   // isn't part of the target's response time.
@@ -194,7 +194,7 @@
 std::vector<flow_packet> flow_router::TakeLostFlows(
     instant now, const known_target& target) {
   if (!target.replaced && !IsLost(now, target)) return {};
-  return flows_.TakeFlowsOf(target.tag);
+  return flows_.TakeFlowsOf(now, target.tag);
 }
 
 const service_name& flow_router::PickService(const route& matched_route) {
--- a/Source/Runtime/entry_loop.cc
+++ b/Source/Runtime/entry_loop.cc
@@ -161,11 +161,8 @@
     }
     ++counts_.held;
     LogPacket(now, *packet, "packet_held", hold->reason, nullptr);
-    Hold(now, {now, *packet, {bytes.begin(), bytes.end()}});
-  }
-
-  void Hold(instant now, held_packet packet) {
-    if (const auto evicted = entry_.held().Add(std::move(packet))) {
+    if (const auto evicted =
+            entry_.held().Add({now, *packet, {bytes.begin(), bytes.end()}})) {
       DropHeld(now, *evicted);
     }
   }
@@ -181,14 +178,16 @@
     for (const held_packet& expired : entry_.held().TakeExpired(now)) {
       DropHeld(now, expired);
     }
-    std::vector<held_packet> packets = entry_.held().TakeAll();
-    for (held_packet& held : packets) {
-      const forward_decision decision = entry_.Route(now, held.packet);
-      if (std::holds_alternative<hold_packet>(decision)) {
-        Hold(now, std::move(held));
-      } else {
-        Apply(now, held.packet, held.bytes, decision);
-      }
+    std::vector<forward_decision> decisions;
+    std::vector<held_packet> packets =
+        entry_.held().TakeIf([&](const held_packet& held) {
+          const forward_decision decision = entry_.Route(now, held.packet);
+          if (std::holds_alternative<hold_packet>(decision)) return false;
+          decisions.push_back(decision);
+          return true;
+        });
+    for (std::size_t i = 0; i < packets.size(); ++i) {
+      Apply(now, packets[i].packet, packets[i].bytes, decisions[i]);
     }
     packet_socket_.Flush();
   }
