Agreement: rounds that end without a chosen entry are logged and counted

The logs didn't show whether rounds time out, are preempted, or whether voters accept nothing.

round_abandoned gives the phase, the reason, the number of answers and the size of the value, at most once a second; three counters are in /metrics. No decision changes.

--- a/Source/Agreement/agreement.cc
+++ b/Source/Agreement/agreement.cc
@@ -34,6 +34,20 @@
 
 }  // namespace
 
+std::string ToString(round_phase phase) {
+  switch (phase) {
+    case round_phase::kIdle:
+      return "idle";
+    case round_phase::kPreparing:
+      return "preparing";
+    case round_phase::kAccepting:
+      return "accepting";
+    case round_phase::kBackingOff:
+      return "backing_off";
+  }
+  return "unknown";
+}
+
 agreement::agreement(agreement_settings settings, agreement_hooks hooks)
     : settings_(std::move(settings)),
       hooks_(std::move(hooks)),
@@ -144,7 +158,7 @@
   }
   pending_proposals_.push_back(
       {event.id, event.value, now_ + kProposalTimeout});
-  if (round_.step == phase::kIdle && IsBootstrapped()) StartRound();
+  if (round_.step == round_phase::kIdle && IsBootstrapped()) StartRound();
 }
 
 void agreement::Receive(const instance_name& from,
@@ -204,7 +218,8 @@
     last_progress_sent_at_ = now_;
     SendProgress();
   }
-  if (round_.step != phase::kIdle && round_.deadline > now_) return;
+  if (round_.step != round_phase::kIdle && round_.deadline > now_) return;
+  AbandonRound(false);
   round_ = {};
   if (ShouldStartRound()) StartRound();
 }
@@ -257,7 +272,9 @@
 
 void agreement::StartRound() {
   round_ = {};
-  round_.step = phase::kPreparing;
+  ++round_counts_.started;
+  round_.step = round_phase::kPreparing;
+  round_.began_at = now_;
   round_.number.set_round(++highest_round_);
   round_.number.set_proposer(settings_.self.value);
   round_.deadline =
@@ -269,10 +286,27 @@
   SendToVoters(message);
 }
 
+void agreement::AbandonRound(bool preempted) {
+  if (round_.step != round_phase::kPreparing &&
+      round_.step != round_phase::kAccepting) {
+    return;
+  }
+  ++(preempted ? round_counts_.preempted : round_counts_.timed_out);
+  effects_.emplace_back(round_abandoned{
+      .index = log_.next(),
+      .step = round_.step,
+      .preempted = preempted,
+      .answers = round_.responders.size(),
+      .value_bytes = round_.value.size(),
+      .phase_length =
+          std::chrono::duration_cast<milliseconds>(now_ - round_.began_at)});
+}
+
 void agreement::BackOff() {
+  AbandonRound(true);
   std::uniform_int_distribution<std::int64_t> wait(
       1, std::chrono::duration_cast<microseconds>(kMaxBackoff).count());
-  round_.step = phase::kBackingOff;
+  round_.step = round_phase::kBackingOff;
   round_.deadline = now_ + microseconds(wait(random_));
 }
 
@@ -319,9 +353,12 @@
 
 void agreement::HandlePromise(const instance_name& from, storage_id storage,
                               const wire::promise& promise) {
-  if (round_.step != phase::kPreparing) return;
   if (promise.index() != log_.next().value) return;
-  if (!IsSameBallot(promise.number(), round_.number)) return;
+  if (!IsSameBallot(promise.number(), round_.number)) {
+    ++round_counts_.late_answers;
+    return;
+  }
+  if (round_.step != round_phase::kPreparing) return;
   if (!IsNextVoter(from, storage)) return;
   round_.responders[from] = storage;
   if (IsLowerBallot(round_.highest_accepted, promise.accepted_number())) {
@@ -336,7 +373,8 @@
     round_ = {};
     return;
   }
-  round_.step = phase::kAccepting;
+  round_.step = round_phase::kAccepting;
+  round_.began_at = now_;
   round_.responders.clear();
   round_.deadline =
       now_ + (IsBootstrapped() ? kRoundTimeout : kBootstrapInterval);
@@ -412,9 +450,12 @@
 
 void agreement::HandleAccepted(const instance_name& from, storage_id storage,
                                const wire::accepted& accepted) {
-  if (round_.step != phase::kAccepting) return;
   if (accepted.index() != log_.next().value) return;
-  if (!IsSameBallot(accepted.number(), round_.number)) return;
+  if (!IsSameBallot(accepted.number(), round_.number)) {
+    ++round_counts_.late_answers;
+    return;
+  }
+  if (round_.step != round_phase::kAccepting) return;
   if (!IsNextVoter(from, storage)) return;
   round_.responders[from] = storage;
   if (IsQuorum(round_.responders.size())) CommitRoundValue();
@@ -423,7 +464,8 @@
 void agreement::HandleReject(const wire::reject& reject) {
   if (reject.index() != log_.next().value) return;
   highest_round_ = std::max(highest_round_, reject.promised().round());
-  if (round_.step != phase::kPreparing && round_.step != phase::kAccepting) {
+  if (round_.step != round_phase::kPreparing &&
+      round_.step != round_phase::kAccepting) {
     return;
   }
   if (IsLowerBallot(round_.number, reject.promised())) BackOff();
--- a/Source/Agreement/agreement.h
+++ b/Source/Agreement/agreement.h
@@ -137,10 +137,32 @@
 struct bootstrap_blocked {
   instance_name replica;
 };
+// Phase of a proposer's round.
+enum class round_phase { kIdle, kPreparing, kAccepting, kBackingOff };
+std::string ToString(round_phase phase);
+
+// A round of this instance ended without a chosen entry. For the log.
+struct round_abandoned {
+  log_index index;               // Log entry that the round was for.
+  round_phase step;              // Phase in which it ended.
+  bool preempted = false;        // By a higher ballot; otherwise it timed out.
+  std::size_t answers = 0;       // Voters that answered in that phase.
+  std::size_t value_bytes = 0;   // Size of the proposed value; 0 if none yet.
+  milliseconds phase_length{0};  // Time since the phase began.
+};
 using agreement_effect =
     std::variant<persist_record, rewrite_records, send_agreement,
                  proposal_chosen, proposal_refused, proposal_timed_out,
-                 bootstrap_blocked>;
+                 bootstrap_blocked, round_abandoned>;
+
+// Numbers of rounds since the start of the process.
+struct round_counts {
+  std::uint64_t started = 0;
+  std::uint64_t timed_out = 0;
+  std::uint64_t preempted = 0;  // By a higher ballot.
+  // Promises and acceptances that arrived after their phase had ended.
+  std::uint64_t late_answers = 0;
+};
 
 // Progress that an instance last reported.
 struct peer_progress {
@@ -174,6 +196,7 @@
   // Progress of `name`; nothing if no message from it has arrived yet, or if
   // this is `name` and its storage has failed.
   std::optional<peer_progress> ProgressOf(const instance_name& name) const;
+  const round_counts& rounds() const { return round_counts_; }
 
  private:
   // Paxos acceptor state for the next log index.
@@ -189,16 +212,14 @@
     std::string value;
     instant expires_at;
   };
-  // Phase of this instance's proposer.
-  enum class phase { kIdle, kPreparing, kAccepting, kBackingOff };
-
   // The proposer's current round.
   struct round_state {
-    phase step = phase::kIdle;
+    round_phase step = round_phase::kIdle;
     wire::ballot number;
     wire::ballot highest_accepted;  // Among the promises received.
     std::string value;              // Proposed, or that of highest_accepted.
     replica_set responders;         // Voters that answered in this phase.
+    instant began_at;               // Start of this phase.
     instant deadline;               // End of this phase or of the backoff.
   };
 
@@ -215,6 +236,9 @@
   void SendProgress();
   void StartRound();
   void BackOff();
+  // Counts the current round as ended without a chosen entry, unless it is idle
+  // or backing off.
+  void AbandonRound(bool preempted);
   void HandlePrepare(const instance_name& from, const wire::prepare& message);
   void HandlePromise(const instance_name& from, storage_id storage,
                      const wire::promise& message);
@@ -255,6 +279,7 @@
   entry_log log_;
   acceptor_state acceptor_;
   round_state round_;
+  round_counts round_counts_;
   std::uint64_t highest_round_ = 0;  // In any ballot seen so far.
   std::deque<pending_proposal> pending_proposals_;
   std::map<instance_name, peer_progress> peers_;
--- a/Source/Control/control_instance.cc
+++ b/Source/Control/control_instance.cc
@@ -316,6 +316,8 @@
                    "timed out waiting for a majority of the voters"});
   } else if (auto* blocked = std::get_if<bootstrap_blocked>(&effect)) {
     effects_.emplace_back(std::move(*blocked));
+  } else if (auto* abandoned = std::get_if<round_abandoned>(&effect)) {
+    effects_.emplace_back(*abandoned);
   }
 }
 
--- a/Source/Control/control_instance.h
+++ b/Source/Control/control_instance.h
@@ -143,9 +143,10 @@
 };
 using control_effect =
     std::variant<persist_record, rewrite_records, bootstrap_blocked,
-                 answer_operator, send_to_control, send_to_follower,
-                 target_report_evaluated, voters_planned, state_published,
-                 majority_changed, save_targets, follower_event>;
+                 round_abandoned, answer_operator, send_to_control,
+                 send_to_follower, target_report_evaluated, voters_planned,
+                 state_published, majority_changed, save_targets,
+                 follower_event>;
 
 // The reducer. Not thread-safe.
 class control_instance {
--- a/Source/Runtime/control_loop.cc
+++ b/Source/Runtime/control_loop.cc
@@ -27,6 +27,8 @@
 constexpr unsigned kCallThreads = 24;
 // A call without a result after this time is answered with 504.
 constexpr milliseconds kCallTimeout{4000};
+// Minimum time between two log lines about abandoned rounds.
+constexpr milliseconds kRoundLineInterval{1000};
 // Time between two attempts to reopen the log after a disk error.
 constexpr milliseconds kDiskRetryDelay{500};
 // Limits of the agreement log. Few entries are kept, since each manifest entry
@@ -297,6 +299,26 @@
   void Apply(const bootstrap_blocked& effect) {
     log_.Write("founding_stuck", {{"control", effect.replica.value}});
   }
+  void Apply(const round_abandoned& effect) {
+    if (last_round_line_at_ &&
+        Now() - *last_round_line_at_ < kRoundLineInterval) {
+      return;
+    }
+    last_round_line_at_ = Now();
+    const round_counts& rounds = control_->agreed().rounds();
+    log_.Write(
+        "round_abandoned",
+        {{"entry", static_cast<std::int64_t>(effect.index.value)},
+         {"phase", ToString(effect.step)},
+         {"reason", effect.preempted ? "preempted" : "timed_out"},
+         {"answers", static_cast<std::int64_t>(effect.answers)},
+         {"value_bytes", static_cast<std::int64_t>(effect.value_bytes)},
+         {"phase_ms", effect.phase_length.count()},
+         {"started", static_cast<std::int64_t>(rounds.started)},
+         {"timed_out", static_cast<std::int64_t>(rounds.timed_out)},
+         {"preempted", static_cast<std::int64_t>(rounds.preempted)},
+         {"late_answers", static_cast<std::int64_t>(rounds.late_answers)}});
+  }
   void Apply(const answer_operator& effect) {
     auto it = pending_calls_.find(effect.call);
     if (it == pending_calls_.end()) return;
@@ -412,6 +434,7 @@
   std::optional<instant> disk_failed_at_;
   // A disk error that the reducer hasn't received yet.
   bool disk_failure_pending_ = false;
+  std::optional<instant> last_round_line_at_;
   instant next_tick_;
 };
 
--- a/Source/Runtime/fleet_queries.cc
+++ b/Source/Runtime/fleet_queries.cc
@@ -140,6 +140,18 @@
   out.AddSingleSample("applied_entry", "gauge",
                       "Index of the newest chosen log entry.",
                       control.agreed().chosen_index().value);
+  const round_counts& rounds = control.agreed().rounds();
+  out.AddSingleSample("agreement_rounds_total", "counter",
+                      "Rounds of the agreement that this instance started.",
+                      rounds.started);
+  out.BeginFamily("agreement_rounds_abandoned_total", "counter",
+                  "Rounds that ended without a chosen entry, by reason.");
+  out.AddSample(FormatLabel("reason", "timed_out"), rounds.timed_out);
+  out.AddSample(FormatLabel("reason", "preempted"), rounds.preempted);
+  out.AddSingleSample("agreement_late_answers_total", "counter",
+                      "Voters' answers that arrived after their phase of the "
+                      "round had ended.",
+                      rounds.late_answers);
   out.AddSingleSample("manifest_version", "gauge",
                       "Version of the newest manifest.",
                       control.published().published().version.value);
--- a/Source/UnitTests/Control/fleet_run_test.cc
+++ b/Source/UnitTests/Control/fleet_run_test.cc
@@ -249,6 +249,22 @@
   }
 }
 
+TEST_CASE("rounds that end without a chosen entry are counted") {
+  fleet_simulation fleet({.seed = 8, .controls = 3, .tolerated_losses = 1});
+  fleet.Run(kBootstrapTime);
+  REQUIRE(fleet.PublishUntilDone(1, seconds(2)));
+  fleet.Run(seconds(1));
+  const round_counts before = fleet.control(0).agreed().rounds();
+  fleet.Partition({0}, false);
+  fleet.Publish(0, 2, "a");
+  fleet.Run(milliseconds(400));
+  const round_counts& after = fleet.control(0).agreed().rounds();
+  REQUIRE(after.started > before.started);
+  REQUIRE(after.timed_out > before.timed_out);
+  REQUIRE(after.preempted == before.preempted);
+  REQUIRE(after.late_answers == before.late_answers);
+}
+
 TEST_CASE("the published state survives a kill of all control instances") {
   fleet_simulation fleet({.seed = 9, .controls = 4, .tolerated_losses = 1});
   fleet.Run(kBootstrapTime);
