--- a/Source/UnitTests/Control/fleet_run_test.cc
+++ b/Source/UnitTests/Control/fleet_run_test.cc
@@ -279,6 +279,52 @@
   REQUIRE(fleet.control(0).published().published().version.value == 5);
 }
 
+// Link of a control instance of 170 Mbit/s.
+constexpr std::uint64_t kLinkBytesPerS = 21'250'000;
+// An order must be acknowledged within this time.
+constexpr milliseconds kOperatorTimeout{6000};
+constexpr milliseconds kReadInterval{300};
+
+// Content of a manifest with about `bytes` bytes.
+std::string LargeContent(std::size_t bytes) {
+  return "abc " + std::string(bytes, 'x');
+}
+
+// Publishes a manifest of `bytes` bytes while another operator reads at each
+// control instance in turn. Returns whether it was acknowledged in time.
+bool PublishWithReads(fleet_simulation* fleet, std::uint64_t version,
+                      std::size_t bytes) {
+  const std::string content = LargeContent(bytes);
+  const instant end = fleet->Now() + kOperatorTimeout;
+  fleet->Publish(0, version, content);
+  for (std::size_t i = 0; fleet->Now() < end; ++i) {
+    fleet->Read(i % fleet->control_count());
+    fleet->Run(kReadInterval);
+    if (fleet->newest_acknowledged() >= version) return true;
+  }
+  return false;
+}
+
+TEST_CASE("a manifest larger than a round transfers is acknowledged in time") {
+  testing::ForEachSeed([](std::uint64_t seed) {
+    fleet_simulation fleet({.seed = seed,
+                            .controls = 5,
+                            .entries = 1,
+                            .tolerated_losses = 2,
+                            .link_bytes_per_s = kLinkBytesPerS});
+    fleet.Run(kBootstrapTime);
+    REQUIRE(fleet.PublishUntilDone(1, seconds(2)));
+    INFO("seed " << seed);
+    // 4,440 routes, and the 9,500 addresses of the two-year target.
+    REQUIRE(PublishWithReads(&fleet, 2, 760'000));
+    REQUIRE(PublishWithReads(&fleet, 3, 1'700'000));
+    const std::uint64_t reads = fleet.read_count();
+    for (std::size_t i = 0; i < fleet.control_count(); ++i) fleet.Read(i);
+    fleet.Run(kOperatorTimeout);
+    REQUIRE(fleet.read_count() >= reads + fleet.control_count());
+  });
+}
+
 // Tests the checks of the simulation: they must fail if an instance that lost
 // its disk votes again under the old storage id, which breaks the agreement.
 TEST_CASE("reuse of the storage id of a lost disk is detected") {
--- a/Source/UnitTests/Control/fleet_simulation.cc
+++ b/Source/UnitTests/Control/fleet_simulation.cc
@@ -130,6 +130,20 @@
   return microseconds(1000 + static_cast<std::int64_t>(random_() % 8000));
 }
 
+microseconds fleet_simulation::TransferTime(std::size_t from, std::size_t to,
+                                            std::size_t bytes) {
+  const microseconds latency = Delay();
+  if (settings_.link_bytes_per_s == 0) return latency;
+  const microseconds length(static_cast<std::int64_t>(
+      bytes * 1'000'000 / settings_.link_bytes_per_s));
+  instant& sent_until = controls_[from].sent_until;
+  sent_until = std::max(Now(), sent_until) + length;
+  // A message is received while it is sent, unless another one is received.
+  instant& received_until = controls_[to].received_until;
+  received_until = std::max(sent_until + latency, received_until + length);
+  return received_until - Now();
+}
+
 void fleet_simulation::TickControl(std::size_t i, std::uint64_t incarnation) {
   control_node& node = controls_[i];
   if (node.instance == nullptr || node.incarnation != incarnation) return;
@@ -254,8 +268,10 @@
     if (!to || IsBlocked(i, *to)) return true;
     const link_id link{"control " + std::to_string(i) + " " +
                        std::to_string(*to)};
+    const microseconds time =
+        TransferTime(i, *to, send->message.ByteSizeLong());
     queue_.ScheduleAfter(
-        Delay(), [this, i, to, link, message = std::move(send->message)] {
+        time, [this, i, to, link, message = std::move(send->message)] {
           if (!IsBlocked(i, *to)) Deliver(*to, link, message);
         });
   } else if (auto* reply = std::get_if<send_to_follower>(effect)) {
--- a/Source/UnitTests/Control/fleet_simulation.h
+++ b/Source/UnitTests/Control/fleet_simulation.h
@@ -35,6 +35,9 @@
   std::size_t entries = 3;   // Number of entry instances.
   // Number of disks that may be lost at the same time.
   std::size_t tolerated_losses = 1;
+  // Rate of each control instance's link, in each direction; 0 for a link
+  // without a limit. Only messages between control instances use it.
+  std::uint64_t link_bytes_per_s = 0;
   // Deliberate fault: a replaced disk keeps the storage id of the lost one.
   bool reuses_lost_storage_id = false;
 };
@@ -112,6 +115,10 @@
     bool storage_failed = false;
     instant paused_until;
     instant disk_full_until;
+    // Times at which the link has transferred all messages that were sent to it
+    // so far.
+    instant sent_until;
+    instant received_until;
     storage_id storage;
     std::map<operator_call, outcome_callback> calls;
   };
@@ -147,6 +154,10 @@
   bool IsBlocked(std::size_t from, std::size_t to) const;
   // Random latency of a message, from 1 to 9 ms.
   microseconds Delay();
+  // Time until a message between two control instances has arrived, with the
+  // messages before it on both links.
+  microseconds TransferTime(std::size_t from, std::size_t to,
+                            std::size_t bytes);
   std::optional<std::size_t> FindControl(const instance_name& name) const;
   // Checks a manifest that a read returned. `min_version` is the newest version
   // that was acknowledged before the read.
