Agreement: rounds allow for the time that the entry needs to arrive

Cause: a phase of a round timed out after 150 ms whatever the size of the entry; 760 kB to four voters take longer on a link of 170 Mbit/s. The next round sent them again. Each voter that had accepted the entry, and each read, then started rounds of its own, which interrupted the others' for good.

Now a timeout includes the time for the entry, and doubles when answers arrive after it. A proposer states in its prepare request how long its entry needs; voters start no round of their own for that time, at most 3.15 s and once for each proposer and entry, so one that receives no answers can't block the others (mutation without 'once': 'a proposer without answers delays the others only once' fails). Requests of older builds have no such time and are handled as before.

--- a/Source/Agreement/agreement.cc
+++ b/Source/Agreement/agreement.cc
@@ -3,13 +3,23 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <chrono>
+#include <utility>
 
 namespace lavendertack {
 namespace {
 
-// Timeout of each phase of a round. A round in which no quorum answers by then
-// is abandoned.
+// Timeout of each phase of a round, in addition to the time for sending the
+// entry. A round in which no quorum answers by then is abandoned.
 constexpr milliseconds kRoundTimeout{150};
+// Rate at which the voters are assumed to receive an entry, all of them
+// together. If it is lower, the timeout is doubled until it suffices.
+constexpr std::uint64_t kEntryBytesPerMs = 4000;
+// Upper bound of the time that a single entry is assumed to need, and of the
+// time for which the next entry is left to another proposer.
+constexpr milliseconds kMaxTransferTime{3000};
+// The timeout is doubled at most this many times.
+constexpr int kMaxTimeoutDoublings = 5;
 // Upper bound of a proposer's random backoff after a higher ballot won.
 constexpr milliseconds kMaxBackoff{60};
 // A proposal without an outcome after this time is reported as timed out.
@@ -158,7 +168,9 @@
   }
   pending_proposals_.push_back(
       {event.id, event.value, now_ + kProposalTimeout});
-  if (round_.step == round_phase::kIdle && IsBootstrapped()) StartRound();
+  if (round_.step == round_phase::kIdle && IsBootstrapped() && !IsDeferring()) {
+    StartRound();
+  }
 }
 
 void agreement::Receive(const instance_name& from,
@@ -244,6 +256,7 @@
         settings_.bootstrap_voters.begin();
     return now_ - *first_tick_at_ >= rank * kBootstrapInterval;
   }
+  if (IsDeferring()) return false;
   if (!pending_proposals_.empty()) return true;
   if (!acceptor_.has_accepted()) return false;
   const instant since = acceptor_.accepted_at.value_or(*first_tick_at_);
@@ -270,6 +283,19 @@
   }
 }
 
+milliseconds agreement::TransferTime(std::size_t bytes) const {
+  if (!IsBootstrapped()) return milliseconds(0);
+  const std::uint64_t receivers = hooks_.voters().size() - 1;
+  return std::min(kMaxTransferTime, milliseconds(static_cast<std::int64_t>(
+                                        bytes * receivers / kEntryBytesPerMs)));
+}
+
+milliseconds agreement::PhaseTimeout(std::size_t bytes) const {
+  const milliseconds round_trip =
+      IsBootstrapped() ? kRoundTimeout : kBootstrapInterval;
+  return round_trip * (1 << timeout_doublings_) + TransferTime(bytes);
+}
+
 void agreement::StartRound() {
   round_ = {};
   ++round_counts_.started;
@@ -277,12 +303,18 @@
   round_.began_at = now_;
   round_.number.set_round(++highest_round_);
   round_.number.set_proposer(settings_.self.value);
-  round_.deadline =
-      now_ + (IsBootstrapped() ? kRoundTimeout : kBootstrapInterval);
+  // Each promise contains the entry that the voter has accepted, if any.
+  round_.deadline = now_ + PhaseTimeout(acceptor_.accepted_value.size());
+  std::size_t entry_bytes = acceptor_.accepted_value.size();
+  if (entry_bytes == 0 && !pending_proposals_.empty()) {
+    entry_bytes = pending_proposals_.front().value.size();
+  }
   wire::agreement_message message;
   auto* prepare = message.mutable_prepare();
   prepare->set_index(log_.next().value);
   *prepare->mutable_number() = round_.number;
+  prepare->set_transfer_ms(
+      static_cast<std::uint32_t>(TransferTime(entry_bytes).count()));
   SendToVoters(message);
 }
 
@@ -291,7 +323,16 @@
       round_.step != round_phase::kAccepting) {
     return;
   }
-  ++(preempted ? round_counts_.preempted : round_counts_.timed_out);
+  if (preempted) {
+    ++round_counts_.preempted;
+    last_concluded_round_ = round_.number.round();
+  } else {
+    ++round_counts_.timed_out;
+    if (std::exchange(late_answer_seen_, false)) {
+      timeout_doublings_ =
+          std::min(timeout_doublings_ + 1, kMaxTimeoutDoublings);
+    }
+  }
   effects_.emplace_back(round_abandoned{
       .index = log_.next(),
       .step = round_.step,
@@ -302,12 +343,34 @@
           std::chrono::duration_cast<milliseconds>(now_ - round_.began_at)});
 }
 
-void agreement::BackOff() {
+void agreement::HandleLateAnswer(const wire::ballot& number) {
+  if (number.round() <= last_concluded_round_) return;
+  ++round_counts_.late_answers;
+  late_answer_seen_ = true;
+}
+
+void agreement::Defer(const instance_name& proposer, milliseconds transfer) {
+  if (transfer.count() == 0 || !deferred_to_.insert(proposer).second) return;
+  deferred_for_ = proposer;
+  deferred_until_ = now_ + std::min(transfer, kMaxTransferTime) + kRoundTimeout;
+}
+
+void agreement::ResetRounds() {
+  round_ = {};
+  last_concluded_round_ = highest_round_;
+  late_answer_seen_ = false;
+  timeout_doublings_ = 0;
+  deferred_to_.clear();
+  deferred_until_.reset();
+}
+
+void agreement::BackOff(milliseconds wait) {
   AbandonRound(true);
-  std::uniform_int_distribution<std::int64_t> wait(
+  std::uniform_int_distribution<std::int64_t> random_wait(
       1, std::chrono::duration_cast<microseconds>(kMaxBackoff).count());
   round_.step = round_phase::kBackingOff;
-  round_.deadline = now_ + microseconds(wait(random_));
+  round_.deadline =
+      now_ + std::max<microseconds>(microseconds(random_wait(random_)), wait);
 }
 
 bool agreement::CheckNextIndex(const instance_name& from, std::uint64_t index) {
@@ -326,6 +389,10 @@
   wire::agreement_message message;
   message.mutable_reject()->set_index(log_.next().value);
   *message.mutable_reject()->mutable_promised() = acceptor_.promised;
+  if (IsDeferring() && from != deferred_for_) {
+    message.mutable_reject()->set_wait_ms(static_cast<std::uint32_t>(
+        std::chrono::ceil<milliseconds>(*deferred_until_ - now_).count()));
+  }
   Send(from, std::move(message));
 }
 
@@ -338,6 +405,9 @@
     return;
   }
   acceptor_.promised = prepare.number();
+  if (from != settings_.self) {
+    Defer(from, milliseconds(prepare.transfer_ms()));
+  }
   wire::stored_record record;
   record.mutable_promised()->set_index(prepare.index());
   *record.mutable_promised()->mutable_number() = prepare.number();
@@ -355,7 +425,7 @@
                               const wire::promise& promise) {
   if (promise.index() != log_.next().value) return;
   if (!IsSameBallot(promise.number(), round_.number)) {
-    ++round_counts_.late_answers;
+    HandleLateAnswer(promise.number());
     return;
   }
   if (round_.step != round_phase::kPreparing) return;
@@ -370,14 +440,14 @@
 
 void agreement::StartAccepting() {
   if (!SelectValue()) {
+    last_concluded_round_ = round_.number.round();
     round_ = {};
     return;
   }
   round_.step = round_phase::kAccepting;
   round_.began_at = now_;
   round_.responders.clear();
-  round_.deadline =
-      now_ + (IsBootstrapped() ? kRoundTimeout : kBootstrapInterval);
+  round_.deadline = now_ + PhaseTimeout(round_.value.size());
   wire::agreement_message message;
   auto* accept = message.mutable_accept();
   accept->set_index(log_.next().value);
@@ -452,7 +522,7 @@
                                const wire::accepted& accepted) {
   if (accepted.index() != log_.next().value) return;
   if (!IsSameBallot(accepted.number(), round_.number)) {
-    ++round_counts_.late_answers;
+    HandleLateAnswer(accepted.number());
     return;
   }
   if (round_.step != round_phase::kAccepting) return;
@@ -468,7 +538,10 @@
       round_.step != round_phase::kAccepting) {
     return;
   }
-  if (IsLowerBallot(round_.number, reject.promised())) BackOff();
+  if (IsLowerBallot(round_.number, reject.promised())) {
+    BackOff(std::min(milliseconds(reject.wait_ms()),
+                     kMaxTransferTime + kRoundTimeout));
+  }
 }
 
 void agreement::HandleChosen(const wire::chosen& chosen) {
@@ -490,7 +563,7 @@
   log_.ResetTo({snapshot.index()});
   hooks_.load(snapshot.state());
   acceptor_ = {};
-  round_ = {};
+  ResetRounds();
   RewriteRecords();
 }
 
@@ -527,7 +600,7 @@
   wire::stored_record record;
   record.mutable_chosen()->set_first(log_.next().value);
   acceptor_ = {};
-  round_ = {};
+  ResetRounds();
   for (const std::string& value : values) {
     record.mutable_chosen()->add_values(value);
     log_.Append(value);
--- a/Source/Agreement/agreement.h
+++ b/Source/Agreement/agreement.h
@@ -20,6 +20,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -160,7 +161,7 @@
   std::uint64_t started = 0;
   std::uint64_t timed_out = 0;
   std::uint64_t preempted = 0;  // By a higher ballot.
-  // Promises and acceptances that arrived after their phase had ended.
+  // Promises and acceptances that arrived after their phase had timed out.
   std::uint64_t late_answers = 0;
 };
 
@@ -235,10 +236,27 @@
   bool ShouldStartRound() const;
   void SendProgress();
   void StartRound();
-  void BackOff();
+  // Waits for a random time, and at least for `wait`, before the next round.
+  void BackOff(milliseconds wait);
   // Counts the current round as ended without a chosen entry, unless it is idle
   // or backing off.
   void AbandonRound(bool preempted);
+  // Time that `bytes` of an entry need at most to reach every other voter.
+  milliseconds TransferTime(std::size_t bytes) const;
+  // Time after which a phase in which `bytes` of an entry are sent times out.
+  milliseconds PhaseTimeout(std::size_t bytes) const;
+  // Called when an answer to `number`, a round of this instance that is over,
+  // arrives.
+  void HandleLateAnswer(const wire::ballot& number);
+  // Leaves the next entry to `proposer`, whose entry needs `transfer` to reach
+  // the voters.
+  void Defer(const instance_name& proposer, milliseconds transfer);
+  // Whether this instance leaves the next entry to another proposer.
+  bool IsDeferring() const {
+    return deferred_until_ && now_ < *deferred_until_;
+  }
+  // Forgets everything about the rounds for the previous log index.
+  void ResetRounds();
   void HandlePrepare(const instance_name& from, const wire::prepare& message);
   void HandlePromise(const instance_name& from, storage_id storage,
                      const wire::promise& message);
@@ -281,6 +299,18 @@
   round_state round_;
   round_counts round_counts_;
   std::uint64_t highest_round_ = 0;  // In any ballot seen so far.
+  // Rounds up to this one ended without a timeout, so that later answers to
+  // them don't mean that the timeout is too short.
+  std::uint64_t last_concluded_round_ = 0;
+  // Whether voters answered a round for the next index after its timeout, and
+  // how often the timeout was doubled for that reason.
+  bool late_answer_seen_ = false;
+  int timeout_doublings_ = 0;
+  // Proposers that this instance has left the next index to. Each one only
+  // once, so that a proposer that receives no answers can't block the others.
+  std::set<instance_name> deferred_to_;
+  std::optional<instant> deferred_until_;
+  instance_name deferred_for_;  // The proposer that is active now.
   std::deque<pending_proposal> pending_proposals_;
   std::map<instance_name, peer_progress> peers_;
   std::map<instance_name, std::optional<instant>> snapshot_sent_at_;
--- a/Source/Runtime/fleet_queries.cc
+++ b/Source/Runtime/fleet_queries.cc
@@ -150,7 +150,7 @@
   out.AddSample(FormatLabel("reason", "preempted"), rounds.preempted);
   out.AddSingleSample("agreement_late_answers_total", "counter",
                       "Voters' answers that arrived after their phase of the "
-                      "round had ended.",
+                      "round had timed out.",
                       rounds.late_answers);
   out.AddSingleSample("manifest_version", "gauge",
                       "Version of the newest manifest.",
--- a/Source/UnitTests/Control/fleet_run_test.cc
+++ b/Source/UnitTests/Control/fleet_run_test.cc
@@ -325,6 +325,26 @@
   });
 }
 
+TEST_CASE("a proposer without answers delays the others only once") {
+  fleet_simulation fleet({.seed = 12,
+                          .controls = 5,
+                          .entries = 1,
+                          .tolerated_losses = 2,
+                          .link_bytes_per_s = kLinkBytesPerS});
+  fleet.Run(kBootstrapTime);
+  REQUIRE(fleet.PublishUntilDone(1, seconds(2)));
+  // Instance 0 still sends to the others, but receives nothing from them.
+  fleet.Partition({1, 2, 3, 4}, true);
+  fleet.Publish(0, 2, LargeContent(1'700'000));
+  fleet.Run(milliseconds(100));
+  std::optional<order_outcome> outcome;
+  fleet.SubmitOrder(1, read_published{},
+                    [&](const order_outcome& o) { outcome = o; });
+  fleet.Run(kOperatorTimeout);
+  REQUIRE(outcome);
+  REQUIRE(std::holds_alternative<order_done>(*outcome));
+}
+
 // Tests the checks of the simulation: they must fail if an instance that lost
 // its disk votes again under the old storage id, which breaks the agreement.
 TEST_CASE("reuse of the storage id of a lost disk is detected") {
