Agreement: a large entry is sent to each voter once

Cause: an entry was sent to each voter with the accept request, again when it was chosen, and back with each promise of a later round, so every retry multiplied the load that had made it necessary.

Entries above 16 KiB are now sent only to voters that have promised the round. Promises leave out an entry that the proposer has, accept_again and chosen_again refer to the ballot at which the voter accepted it; a voter without it fetches the entry. A ballot identifies one value, so the reference is exact. Voters say in their promise that they know references; older builds get and send whole entries.

--- a/Source/Agreement/agreement.cc
+++ b/Source/Agreement/agreement.cc
@@ -20,6 +20,9 @@
 constexpr milliseconds kMaxTransferTime{3000};
 // The timeout is doubled at most this many times.
 constexpr int kMaxTimeoutDoublings = 5;
+// A larger entry is sent only to voters that have promised the round, and only
+// once to each of them.
+constexpr std::size_t kLargeEntryBytes{16 << 10};
 // Upper bound of a proposer's random backoff after a higher ballot won.
 constexpr milliseconds kMaxBackoff{60};
 // A proposal without an outcome after this time is reported as timed out.
@@ -196,6 +199,12 @@
     case wire::agreement_message::kChosen:
       HandleChosen(message.chosen());
       break;
+    case wire::agreement_message::kAcceptAgain:
+      HandleAcceptAgain(from, message.accept_again());
+      break;
+    case wire::agreement_message::kChosenAgain:
+      HandleChosenAgain(message.chosen_again());
+      break;
     case wire::agreement_message::kFetch:
       HandleFetch(from, message.fetch().first());
       break;
@@ -205,8 +214,10 @@
     case wire::agreement_message::BODY_NOT_SET:
       break;
   }
-  // HandlePrepare and HandleAccept fetch missing entries themselves.
-  const bool may_need_fetch = !message.has_prepare() && !message.has_accept();
+  // HandlePrepare, HandleAccept and HandleAcceptAgain fetch missing entries
+  // themselves.
+  const bool may_need_fetch = !message.has_prepare() && !message.has_accept() &&
+                              !message.has_accept_again();
   if (may_need_fetch && message.chosen_index() > log_.last().value) Fetch(from);
 }
 
@@ -303,9 +314,10 @@
   round_.began_at = now_;
   round_.number.set_round(++highest_round_);
   round_.number.set_proposer(settings_.self.value);
-  // Each promise contains the entry that the voter has accepted, if any.
-  round_.deadline = now_ + PhaseTimeout(acceptor_.accepted_value.size());
-  std::size_t entry_bytes = acceptor_.accepted_value.size();
+  round_.deadline = now_ + PhaseTimeout(0);
+  round_.highest_accepted = acceptor_.accepted_number;
+  round_.value = acceptor_.accepted_value;
+  std::size_t entry_bytes = round_.value.size();
   if (entry_bytes == 0 && !pending_proposals_.empty()) {
     entry_bytes = pending_proposals_.front().value.size();
   }
@@ -313,6 +325,7 @@
   auto* prepare = message.mutable_prepare();
   prepare->set_index(log_.next().value);
   *prepare->mutable_number() = round_.number;
+  *prepare->mutable_held() = acceptor_.accepted_number;
   prepare->set_transfer_ms(
       static_cast<std::uint32_t>(TransferTime(entry_bytes).count()));
   SendToVoters(message);
@@ -417,7 +430,10 @@
   promise->set_index(prepare.index());
   *promise->mutable_number() = prepare.number();
   *promise->mutable_accepted_number() = acceptor_.accepted_number;
-  promise->set_accepted_value(acceptor_.accepted_value);
+  if (IsLowerBallot(prepare.held(), acceptor_.accepted_number)) {
+    promise->set_accepted_value(acceptor_.accepted_value);
+  }
+  promise->set_knows_references(true);
   Send(from, std::move(message));
 }
 
@@ -428,10 +444,22 @@
     HandleLateAnswer(promise.number());
     return;
   }
-  if (round_.step != round_phase::kPreparing) return;
   if (!IsNextVoter(from, storage)) return;
+  const bool is_higher =
+      IsLowerBallot(round_.highest_accepted, promise.accepted_number());
+  if (is_higher && promise.accepted_value().empty()) return;
+  const bool is_repeated =
+      !round_.promises
+           .insert(
+               {from, {promise.accepted_number(), promise.knows_references()}})
+           .second;
+  if (round_.step == round_phase::kAccepting &&
+      round_.value.size() > kLargeEntryBytes && !is_repeated) {
+    SendAccept(from);
+  }
+  if (round_.step != round_phase::kPreparing) return;
   round_.responders[from] = storage;
-  if (IsLowerBallot(round_.highest_accepted, promise.accepted_number())) {
+  if (is_higher) {
     round_.highest_accepted = promise.accepted_number();
     round_.value = promise.accepted_value();
   }
@@ -448,6 +476,13 @@
   round_.began_at = now_;
   round_.responders.clear();
   round_.deadline = now_ + PhaseTimeout(round_.value.size());
+  if (round_.value.size() > kLargeEntryBytes) {
+    for (const auto& [name, promise] : round_.promises) {
+      if (name != settings_.self) SendAccept(name);
+    }
+    SendAccept(settings_.self);
+    return;
+  }
   wire::agreement_message message;
   auto* accept = message.mutable_accept();
   accept->set_index(log_.next().value);
@@ -456,6 +491,26 @@
   SendToVoters(message);
 }
 
+void agreement::SendAccept(const instance_name& to) {
+  const received_promise& promise = round_.promises[to];
+  const bool has_value =
+      promise.knows_references && promise.accepted_number.round() != 0 &&
+      IsSameBallot(promise.accepted_number, round_.highest_accepted);
+  wire::agreement_message message;
+  if (has_value) {
+    auto* again = message.mutable_accept_again();
+    again->set_index(log_.next().value);
+    *again->mutable_number() = round_.number;
+    *again->mutable_held() = round_.highest_accepted;
+  } else {
+    auto* accept = message.mutable_accept();
+    accept->set_index(log_.next().value);
+    *accept->mutable_number() = round_.number;
+    accept->set_value(round_.value);
+  }
+  Send(to, std::move(message));
+}
+
 bool agreement::SelectValue() {
   if (!IsBootstrapped()) {
     SelectBootstrapValue();
@@ -493,28 +548,47 @@
 void agreement::HandleAccept(const instance_name& from,
                              const wire::accept& accept) {
   if (!CheckNextIndex(from, accept.index()) || !IsVoting()) return;
-  highest_round_ = std::max(highest_round_, accept.number().round());
-  if (IsLowerBallot(accept.number(), acceptor_.promised)) {
+  AcceptValue(from, accept.index(), accept.number(), accept.value());
+}
+
+void agreement::HandleAcceptAgain(const instance_name& from,
+                                  const wire::accept_again& accept) {
+  if (!CheckNextIndex(from, accept.index()) || !IsVoting()) return;
+  // Ballots identify entries: the proposer means the entry accepted here.
+  if (!acceptor_.has_accepted() ||
+      !IsSameBallot(acceptor_.accepted_number, accept.held())) {
+    return;
+  }
+  const std::string value = acceptor_.accepted_value;
+  AcceptValue(from, accept.index(), accept.number(), value);
+}
+
+void agreement::AcceptValue(const instance_name& from, std::uint64_t index,
+                            const wire::ballot& number,
+                            const std::string& value) {
+  highest_round_ = std::max(highest_round_, number.round());
+  if (IsLowerBallot(number, acceptor_.promised)) {
     Reject(from);
     return;
   }
   // A first entry that omits this replica's storage id would bar it from
   // voting, so it isn't accepted.
-  if (!IsBootstrapped() &&
-      !IsVoter(hooks_.decode_bootstrap_voters(accept.value()), settings_.self,
-               storage_)) {
+  if (!IsBootstrapped() && !IsVoter(hooks_.decode_bootstrap_voters(value),
+                                    settings_.self, storage_)) {
     return;
   }
-  acceptor_.promised = accept.number();
-  acceptor_.accepted_number = accept.number();
-  acceptor_.accepted_value = accept.value();
+  acceptor_.promised = number;
+  acceptor_.accepted_number = number;
+  acceptor_.accepted_value = value;
   acceptor_.accepted_at = now_;
   wire::stored_record record;
-  *record.mutable_accepted() = accept;
+  record.mutable_accepted()->set_index(index);
+  *record.mutable_accepted()->mutable_number() = number;
+  record.mutable_accepted()->set_value(value);
   PersistRecord(std::move(record));
   wire::agreement_message message;
-  message.mutable_accepted()->set_index(accept.index());
-  *message.mutable_accepted()->mutable_number() = accept.number();
+  message.mutable_accepted()->set_index(index);
+  *message.mutable_accepted()->mutable_number() = number;
   Send(from, std::move(message));
 }
 
@@ -558,6 +632,12 @@
   if (!added.empty()) AppendChosen(added);
 }
 
+void agreement::HandleChosenAgain(const wire::chosen_again& chosen) {
+  if (chosen.index() != log_.next().value || !acceptor_.has_accepted()) return;
+  if (!IsSameBallot(acceptor_.accepted_number, chosen.number())) return;
+  AppendChosen({acceptor_.accepted_value});
+}
+
 void agreement::HandleSnapshot(const wire::state_snapshot& snapshot) {
   if (snapshot.index() <= log_.last().value) return;
   log_.ResetTo({snapshot.index()});
@@ -588,12 +668,24 @@
 
 void agreement::CommitRoundValue() {
   const log_index index = log_.next();
-  std::string value = round_.value;
-  AppendChosen({value});
-  wire::agreement_message message;
-  message.mutable_chosen()->set_first(index.value);
-  message.mutable_chosen()->add_values(std::move(value));
-  SendToVoters(message);
+  const round_state round = std::move(round_);
+  AppendChosen({round.value});
+  wire::agreement_message whole;
+  whole.mutable_chosen()->set_first(index.value);
+  whole.mutable_chosen()->add_values(round.value);
+  wire::agreement_message reference;
+  reference.mutable_chosen_again()->set_index(index.value);
+  *reference.mutable_chosen_again()->mutable_number() = round.number;
+  const bool is_large = round.value.size() > kLargeEntryBytes;
+  for (const instance_name& name : VoterNames()) {
+    if (name == settings_.self) continue;
+    const auto promise = round.promises.find(name);
+    // A voter that hasn't accepted the entry fetches it: every message contains
+    // the index of the newest chosen entry.
+    const bool is_older_build =
+        promise != round.promises.end() && !promise->second.knows_references;
+    Send(name, is_large && !is_older_build ? reference : whole);
+  }
 }
 
 void agreement::AppendChosen(const std::vector<std::string>& values) {
--- a/Source/Agreement/agreement.h
+++ b/Source/Agreement/agreement.h
@@ -213,6 +213,12 @@
     std::string value;
     instant expires_at;
   };
+  // A voter's promise in the current round.
+  struct received_promise {
+    wire::ballot accepted_number;   // 0 if it has accepted no entry.
+    bool knows_references = false;  // Otherwise it runs an older build.
+  };
+
   // The proposer's current round.
   struct round_state {
     round_phase step = round_phase::kIdle;
@@ -220,8 +226,9 @@
     wire::ballot highest_accepted;  // Among the promises received.
     std::string value;              // Proposed, or that of highest_accepted.
     replica_set responders;         // Voters that answered in this phase.
-    instant began_at;               // Start of this phase.
-    instant deadline;               // End of this phase or of the backoff.
+    std::map<instance_name, received_promise> promises;
+    instant began_at;  // Start of this phase.
+    instant deadline;  // End of this phase or of the backoff.
   };
 
   void Propose(const propose_entry& event);
@@ -261,13 +268,21 @@
   void HandlePromise(const instance_name& from, storage_id storage,
                      const wire::promise& message);
   void HandleAccept(const instance_name& from, const wire::accept& message);
+  void HandleAcceptAgain(const instance_name& from,
+                         const wire::accept_again& message);
+  // Accepts `value` unless a higher ballot was promised, and answers.
+  void AcceptValue(const instance_name& from, std::uint64_t index,
+                   const wire::ballot& number, const std::string& value);
   void HandleAccepted(const instance_name& from, storage_id storage,
                       const wire::accepted& message);
   void HandleReject(const wire::reject& message);
   void HandleChosen(const wire::chosen& message);
+  void HandleChosenAgain(const wire::chosen_again& message);
   void HandleSnapshot(const wire::state_snapshot& message);
   void HandleFetch(const instance_name& from, std::uint64_t first);
   void StartAccepting();
+  // Asks a voter that has promised the round to accept its value.
+  void SendAccept(const instance_name& to);
   // Sets the round's value. Returns false if there is nothing to propose.
   bool SelectValue();
   void SelectBootstrapValue();
--- a/Source/Node/peer_check.cc
+++ b/Source/Node/peer_check.cc
@@ -26,7 +26,9 @@
   if (message.has_accept()) return IsReadable(message.accept().value());
   if (message.has_promise() &&
       message.promise().accepted_number().round() != 0) {
-    return IsReadable(message.promise().accepted_value());
+    // The entry is left out if the receiver has it.
+    return message.promise().accepted_value().empty() ||
+           IsReadable(message.promise().accepted_value());
   }
   if (message.has_snapshot()) return IsReadable(message.snapshot());
   return std::all_of(
--- a/Source/UnitTests/Control/fleet_run_test.cc
+++ b/Source/UnitTests/Control/fleet_run_test.cc
@@ -325,6 +325,40 @@
   });
 }
 
+TEST_CASE("a large entry is sent to each voter once") {
+  constexpr std::size_t kBytes = 760'000;
+  constexpr std::uint64_t kMaxBytes = 4 * kBytes * 11 / 10;
+  fleet_simulation fleet({.seed = 14,
+                          .controls = 5,
+                          .entries = 1,
+                          .tolerated_losses = 2,
+                          .link_bytes_per_s = kLinkBytesPerS});
+  fleet.Run(kBootstrapTime);
+  REQUIRE(fleet.PublishUntilDone(1, seconds(2)));
+  fleet.Run(seconds(1));
+  const std::uint64_t before = fleet.control_bytes();
+  const std::uint64_t entry = fleet.control(1).agreed().chosen_index().value;
+  fleet.Publish(0, 2, LargeContent(kBytes));
+
+  SECTION("if its proposer completes it") {
+    fleet.Run(seconds(3));
+    for (std::size_t i = 0; i < fleet.control_count(); ++i) {
+      REQUIRE(fleet.control(i).agreed().chosen_index().value == entry + 1);
+    }
+    REQUIRE(fleet.control_bytes() - before < kMaxBytes);
+  }
+  SECTION("if another voter completes it") {
+    // The proposer has received the promises, and receives nothing after them.
+    fleet.Run(milliseconds(20));
+    fleet.Partition({1, 2, 3, 4}, true);
+    fleet.Run(seconds(4));
+    for (const std::size_t i : {1, 2, 3, 4}) {
+      REQUIRE(fleet.control(i).agreed().chosen_index().value == entry + 1);
+    }
+    REQUIRE(fleet.control_bytes() - before < kMaxBytes);
+  }
+}
+
 TEST_CASE("a proposer without answers delays the others only once") {
   fleet_simulation fleet({.seed = 12,
                           .controls = 5,
--- a/Source/UnitTests/Control/fleet_simulation.cc
+++ b/Source/UnitTests/Control/fleet_simulation.cc
@@ -268,8 +268,9 @@
     if (!to || IsBlocked(i, *to)) return true;
     const link_id link{"control " + std::to_string(i) + " " +
                        std::to_string(*to)};
-    const microseconds time =
-        TransferTime(i, *to, send->message.ByteSizeLong());
+    const std::size_t bytes = send->message.ByteSizeLong();
+    control_bytes_ += bytes;
+    const microseconds time = TransferTime(i, *to, bytes);
     queue_.ScheduleAfter(
         time, [this, i, to, link, message = std::move(send->message)] {
           if (!IsBlocked(i, *to)) Deliver(*to, link, message);
