Agreement tests: the final repair includes the disks of stopped instances

Trace: of the voters n0, n2 (lost disk) and n3, n3 is up with failed storage: a disk fault was injected while it was stopped, and PowerFailure, which repairs the disk, ignores stopped instances. In this runtime such a replica votes again only after a restart, which the run didn't make. So the run, not the product, was wrong; it now starts the instance before the repair. No check or bound changes.

--- a/Source/UnitTests/Agreement/random_run_test.cc
+++ b/Source/UnitTests/Agreement/random_run_test.cc
@@ -46,8 +46,9 @@
     sim_.SetDuplicateRate(0);
     for (std::size_t i = 0; i < sim_.size(); ++i) {
       sim_.Unfreeze(i);
-      // Repairs the disk. A replica whose storage failed votes again after the
-      // restart.
+      // Repairs the disk, which needs a running instance. A replica whose
+      // storage failed votes again after the restart.
+      sim_.Start(i);
       sim_.PowerFailure(i);
       // Repeated because an injected power failure may stop the instance again
       // while it opens its log.
@@ -238,6 +239,15 @@
   }
 }
 
+// A disk fault of a stopped instance outlasted the repair, so that the instance
+// didn't vote after its restart.
+TEST_CASE("the final repair includes the disks of stopped instances") {
+  constexpr std::uint64_t kSeed = 45;
+  replica_simulation simulation(
+      {.seed = kSeed, .initial_voters = 3, .limits = kLimits});
+  REQUIRE_NOTHROW(RunSeed(&simulation, kEventsPerSeed));
+}
+
 // Runs with `defects` until an invariant is violated and returns the violation;
 // empty if no seed violates one.
 std::string FindViolation(testing::injected_defects defects) {
