--- a/Source/Runtime/fleet_links.cc
+++ b/Source/Runtime/fleet_links.cc
@@ -10,8 +10,6 @@
 
 // Messages queued per socket; further ones are dropped.
 constexpr int kSocketQueueMessages = 512;
-// A larger message closes its connection. A snapshot of 3,000 routes fits.
-constexpr std::int64_t kMaxMessageBytes = 4 << 20;
 // A connection that received nothing for this time is reopened. Normally
 // several requests are answered within it.
 constexpr milliseconds kReopenTimeout{1200};
@@ -38,7 +36,8 @@
   socket->set(zmq::sockopt::linger, 0);
   socket->set(zmq::sockopt::rcvhwm, kSocketQueueMessages);
   socket->set(zmq::sockopt::sndhwm, kSocketQueueMessages);
-  socket->set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
+  socket->set(zmq::sockopt::maxmsgsize,
+              static_cast<std::int64_t>(kMaxFleetMessageBytes));
   socket->set(zmq::sockopt::tcp_maxrt, kTcpMaxRetransmitMs);
 }
 
--- a/Source/Runtime/fleet_links.h
+++ b/Source/Runtime/fleet_links.h
@@ -4,6 +4,7 @@
 #ifndef LAVENDERTACK_RUNTIME_FLEET_LINKS_H_
 #define LAVENDERTACK_RUNTIME_FLEET_LINKS_H_
 
+#include <cstddef>
 #include <functional>
 #include <initializer_list>
 #include <map>
@@ -19,6 +20,10 @@
 
 namespace lavendertack {
 
+// Largest message between instances, in bytes; a larger one closes its
+// connection. An operator's order must fit.
+inline constexpr std::size_t kMaxFleetMessageBytes = 4 << 20;
+
 class fleet_links {
  public:
   // `peer_port` is the port at which control instances listen.
--- a/Source/UnitTests/Platform/calls_test.cc
+++ b/Source/UnitTests/Platform/calls_test.cc
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include "Runtime/fleet_links.h"
+#include "platform/adapter.h"
+
 namespace lavendertack::platform {
 namespace {
 
@@ -56,6 +59,32 @@
   }
 }
 
+TEST_CASE("a manifest with every address of a large fleet is accepted") {
+  constexpr int kAddresses = 9'500;
+  constexpr int kAddressesPerHost = 100;
+  std::string text = R"({"version":7,"services":[)"
+                     R"({"name":"waiver-desk"},{"name":"pack-press"}],)"
+                     R"("routes":[)";
+  for (int i = 0; i < kAddresses; ++i) {
+    if (i > 0) text += ",";
+    text += R"({"name":"r-)" + std::to_string(1'000'000 + i) +
+            R"(","host":"198.18.)" + std::to_string(i / kAddressesPerHost) +
+            R"(.1","path_prefix":"/)" +
+            std::to_string(8000 + i % kAddressesPerHost) +
+            R"(/","type":"download","timeout_ms":12000,)"
+            R"("target_latency_ms":1500,"priority":2,"max_attempts":2,)"
+            R"("traffic_split":[{"service":"waiver-desk","weight":90},)"
+            R"({"service":"pack-press","weight":10}]})";
+  }
+  text += "]}";
+  const auto call = Decode("PUT", "/config", text);
+  REQUIRE(std::holds_alternative<published_order>(call));
+  const std::size_t max_bytes = MakePlatformAdapter().calls.max_body_bytes;
+  REQUIRE(text.size() <= max_bytes);
+  // Control instances send it to each other in one message.
+  REQUIRE(max_bytes < kMaxFleetMessageBytes);
+}
+
 TEST_CASE("outcomes of orders are encoded as HTTP answers") {
   const published_state empty(
       [](const std::string&) { return std::optional<manifest>(); });
