Following, Control: one control instance sends the published state

Cause: each control instance sent the whole state to each of 81 entry instances, over links of 3 Mbit/s, and again every 700 ms until it was acknowledged. The copies delayed each other and used up the control instances' processor time; their lines show majority heard=false and control_lost while all were up.

A follower now asks one control instance for the state. The others announce its log index, and one of them is asked if the source leaves the follower behind for 1 s (2, 4 and 8 s after further changes), hasn't answered yet, or lost its majority. A repetition waits for the time that the bytes need. Older followers don't set the new field and are served as before.

--- a/Source/Control/follower_feed.cc
+++ b/Source/Control/follower_feed.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "Following/target_codec.h"
 #include "Forwarding/demand.h"
@@ -13,6 +14,9 @@
 constexpr milliseconds kFollowerTimeout{5000};
 // Changes that a follower hasn't acknowledged for this long are sent again.
 constexpr milliseconds kResendAfter{700};
+// Rate at which a follower is assumed to receive published state. The time for
+// it is added to kResendAfter.
+constexpr std::uint64_t kStateBytesPerMs = 100;
 // Minimum time between two pushes to the same follower, so that a quick series
 // of manifests is sent as a few combined differences.
 constexpr milliseconds kPushInterval{50};
@@ -39,7 +43,11 @@
   const published_state& published = content.published;
   const log_index last_changed_index = published.last_changed_index();
   update->set_state_to(last_changed_index.value);
-  if (!follower->control &&
+  if (follower->announced_state < last_changed_index.value) {
+    follower->announced_state = last_changed_index.value;
+    follower->last_push_at = now;
+  }
+  if (!follower->control && follower->wants_state &&
       last_changed_index.value > follower->state.sent_to()) {
     update->set_has_state(true);
     const log_index from{follower->state.sent_to()};
@@ -58,6 +66,8 @@
       }
     }
     follower->state.MarkSent(now, last_changed_index.value);
+    follower->state_transfer = milliseconds(
+        static_cast<std::int64_t>(update->ByteSizeLong() / kStateBytesPerMs));
     follower->last_push_at = now;
   }
   const std::uint64_t revision = content.targets.revision();
@@ -124,11 +134,17 @@
                                     content.targets.revision())
           : 0;
   UpdateDemand(&follower, request);
-  if (added) {
+  const bool wanted_state =
+      std::exchange(follower.wants_state, !request.without_state());
+  if (added || (!wanted_state && follower.wants_state)) {
     follower.state.Reset(request.applied());
+  } else {
+    follower.state.Acknowledge(now, request.applied(),
+                               kResendAfter + follower.state_transfer);
+  }
+  if (added) {
     follower.targets.Reset(acknowledged_targets);
   } else {
-    follower.state.Acknowledge(now, request.applied(), kResendAfter);
     follower.targets.Acknowledge(now, acknowledged_targets, kResendAfter);
   }
   feed_update reply = MakeUpdate(now, from, &follower, content);
@@ -147,10 +163,12 @@
       it = followers_.erase(it);
       continue;
     }
+    const std::uint64_t told = follower.wants_state ? follower.state.sent_to()
+                                                    : follower.announced_state;
     const bool changed =
         follower.targets.sent_to() < content.targets.revision() ||
-        (!follower.control && follower.state.sent_to() <
-                                  content.published.last_changed_index().value);
+        (!follower.control &&
+         told < content.published.last_changed_index().value);
     if (to_all || (changed && now - follower.last_push_at >= kPushInterval)) {
       updates.push_back(MakeUpdate(now, it->first, &follower, content));
     }
--- a/Source/Control/follower_feed.h
+++ b/Source/Control/follower_feed.h
@@ -63,7 +63,12 @@
     std::map<service_name, double> demand;  // Requests per second.
     // Sums of the demand, in requests per second, that were last sent to it.
     std::map<std::pair<service_name, data_centre_name>, double> sent_demand;
-    sent_cursor state;    // Published state, by log entry.
+    bool wants_state = true;  // Gets the published state from this instance.
+    sent_cursor state;        // Published state, by log entry.
+    // Time that the state sent last may need to arrive.
+    milliseconds state_transfer{0};
+    // Newest log entry of the published state that was announced to it.
+    std::uint64_t announced_state = 0;
     sent_cursor targets;  // Targets, by revision of the target registry.
     instant last_request_at;
     instant last_push_at;  // When changes were last sent.
--- a/Source/Following/control_follower.cc
+++ b/Source/Following/control_follower.cc
@@ -1,7 +1,9 @@
 #include "Following/control_follower.h"
 
 #include <algorithm>
+#include <iterator>
 
+#include "Common/hash.h"
 #include "Following/target_codec.h"
 #include "Forwarding/demand.h"
 
@@ -34,6 +36,11 @@
 // Number of unanswered requests to a control instance after which the interval
 // in the settings applies even if it is unreachable.
 constexpr int kMaxRetryRequests = 30;
+// Time for which the source of the published state may leave the follower
+// behind a newer state before another control instance is asked. It doubles
+// with each change of the source, as the state may just need long to arrive.
+constexpr milliseconds kStateWait{1000};
+constexpr int kMaxStateWaitDoublings = 3;
 // Maximum number of followed control instances.
 constexpr std::size_t kMaxControls = 16;
 
@@ -89,6 +96,7 @@
   control.current = update.current();
   for (const std::string& name : update.controls()) AddControlName(now, {name});
   ApplyState(now, from, update, &events);
+  ReviewStateSource(now, from);
   ApplyTargets(now, from, update, &events);
   for (const wire::demand_record& row : update.demand()) {
     state_.demand[{row.service()}][{row.data_centre()}] = row.requests_per_s();
@@ -124,6 +132,8 @@
     version_ = {update.manifest_version()};
     cold_start_ = milliseconds(update.cold_start_ms());
     state_.has_manifest = version_.value > 0;
+    behind_since_.reset();
+    source_changes_ = 0;
     events->emplace_back(state_followed{
         from, version_, applied_,
         static_cast<std::size_t>(update.routes_size()), update.whole_state()});
@@ -131,6 +141,35 @@
   UpdateClosed(now);
 }
 
+void control_follower::InitializeStateSource() {
+  if (state_source_ || controls_.empty()) return;
+  // Differs between followers, so that each control instance serves some.
+  const std::uint64_t choice =
+      StableHash(settings_.self.value) % controls_.size();
+  state_source_ =
+      std::next(controls_.begin(), static_cast<std::ptrdiff_t>(choice))->first;
+}
+
+void control_follower::ReviewStateSource(instant now,
+                                         const instance_name& from) {
+  followed_control& control = controls_[from];
+  if (settings_.is_control || control.closed_index <= applied_) return;
+  if (!behind_since_) behind_since_ = now;
+  if (!state_source_ || from == *state_source_) return;
+  const auto source = controls_.find(*state_source_);
+  // A source that has answered may be sending the state.
+  const bool is_source_usable = source != controls_.end() &&
+                                source->second.last_update &&
+                                (source->second.current || !control.current);
+  const milliseconds wait =
+      kStateWait * (1 << std::min(source_changes_, kMaxStateWaitDoublings));
+  if (is_source_usable && now - *behind_since_ < wait) return;
+  state_source_ = from;
+  behind_since_ = now;
+  ++source_changes_;
+  control.last_request.reset();  // Due with the next call of `Requests`.
+}
+
 // A data centre counts as closed when at least one of the reachable control
 // instances with the newest published state reports it as closed.
 void control_follower::UpdateClosed(instant now) {
@@ -181,6 +220,7 @@
     instant now, const std::map<service_name, requests_per_s>& demand,
     const unanswered_report& unanswered) {
   std::vector<follow_request> requests;
+  InitializeStateSource();
   for (auto& [name, control] : controls_) {
     const bool is_retry = !IsReachable(now, name) &&
                           control.unanswered_requests < kMaxRetryRequests;
@@ -199,6 +239,7 @@
     follow->set_data_centre(settings_.data_centre.value);
     follow->set_control(settings_.is_control);
     follow->set_applied(applied_.value);
+    follow->set_without_state(name != *state_source_);
     follow->set_target_epoch(control.target_epoch);
     follow->set_target_revision(control.target_revision);
     for (const auto& [service, rate] : demand) {
--- a/Source/Following/control_follower.h
+++ b/Source/Following/control_follower.h
@@ -4,7 +4,9 @@
 // Each control instance sends the targets that report to it. The newest report
 // of a target wins, whichever control instance received it. Published state is
 // ordered by its index in the agreed log, so an update from a control instance
-// that lags behind never replaces newer state.
+// that lags behind never replaces newer state. It is requested from one control
+// instance only; the others announce its index, and one of them is asked once
+// the follower stays behind.
 #ifndef LAVENDERTACK_FOLLOWING_CONTROL_FOLLOWER_H_
 #define LAVENDERTACK_FOLLOWING_CONTROL_FOLLOWER_H_
 
@@ -132,6 +134,11 @@
     return controls_;
   }
   std::set<instance_name> ControlNames() const;
+  // The control instance that sends the published state; empty before the first
+  // request.
+  const std::optional<instance_name>& state_source() const {
+    return state_source_;
+  }
   // Whether the control instance has sent an update within the last three
   // request intervals.
   bool IsReachable(instant now, const instance_name& name) const;
@@ -150,6 +157,11 @@
                     const wire::update& update,
                     std::vector<follower_event>* events);
   void UpdateClosed(instant now);
+  // Chooses the first control instance to request the published state from.
+  void InitializeStateSource();
+  // Requests the published state from `from`, which has announced a newer one,
+  // if the current source doesn't deliver it.
+  void ReviewStateSource(instant now, const instance_name& from);
 
   follower_settings settings_;
   routing_state state_;
@@ -159,6 +171,11 @@
   milliseconds cold_start_{0};
   // When the first control instance had sent all its targets.
   std::optional<instant> first_sync_at_;
+  std::optional<instance_name> state_source_;
+  // Since when a newer published state than the applied one is known.
+  std::optional<instant> behind_since_;
+  // Number of changes of the source since the last applied state.
+  int source_changes_ = 0;
 };
 
 }  // namespace lavendertack
--- a/Source/UnitTests/Control/fleet_run_test.cc
+++ b/Source/UnitTests/Control/fleet_run_test.cc
@@ -359,6 +359,39 @@
   }
 }
 
+TEST_CASE("an entry instance gets the published state from one source") {
+  constexpr std::size_t kEntries = 6;
+  fleet_simulation fleet(
+      {.seed = 18, .controls = 5, .entries = kEntries, .tolerated_losses = 2});
+  fleet.Run(kBootstrapTime);
+  REQUIRE(fleet.PublishUntilDone(1, seconds(2)));
+  fleet.Run(seconds(1));
+
+  SECTION("when it is published") {
+    const std::uint64_t before = fleet.state_update_count();
+    REQUIRE(fleet.PublishUntilDone(2, seconds(2)));
+    fleet.Run(seconds(2));
+    REQUIRE(fleet.state_update_count() == before + kEntries);
+  }
+  SECTION("when it restarts") {
+    const std::uint64_t before = fleet.state_update_count();
+    fleet.RestartEntry(0);
+    fleet.Run(seconds(2));
+    REQUIRE(fleet.entry(0).follower().version().value == 1);
+    REQUIRE(fleet.state_update_count() <= before + 2);
+  }
+  SECTION("and in time from another one when that source is lost") {
+    fleet.Kill(0);
+    fleet.Kill(1);
+    fleet.Publish(2, 2, "abcd");
+    fleet.Run(milliseconds(2500));
+    REQUIRE(fleet.newest_acknowledged() == 2);
+    for (std::size_t i = 0; i < kEntries; ++i) {
+      REQUIRE(fleet.entry(i).follower().version().value == 2);
+    }
+  }
+}
+
 TEST_CASE("a proposer without answers delays the others only once") {
   fleet_simulation fleet({.seed = 12,
                           .controls = 5,
--- a/Source/UnitTests/Control/fleet_simulation.cc
+++ b/Source/UnitTests/Control/fleet_simulation.cc
@@ -317,6 +317,7 @@
 void fleet_simulation::DeliverToEntry(std::size_t to,
                                       const wire::fleet_message& message) {
   entry_node& node = entries_[to];
+  if (message.update().has_state()) ++state_update_count_;
   node.instance->Receive(Now(), message);
   const log_index applied = node.instance->follower().applied();
   if (applied < node.applied) {
--- a/Source/UnitTests/Control/fleet_simulation.h
+++ b/Source/UnitTests/Control/fleet_simulation.h
@@ -102,6 +102,8 @@
   std::uint64_t newest_acknowledged() const { return newest_acknowledged_; }
   std::uint64_t acknowledged_count() const { return acknowledged_count_; }
   std::uint64_t read_count() const { return read_count_; }
+  // Number of updates with published state that entry instances received.
+  std::uint64_t state_update_count() const { return state_update_count_; }
   // Bytes sent between control instances, without answers to follow requests.
   std::uint64_t control_bytes() const { return control_bytes_; }
   std::mt19937_64& random() { return random_; }
@@ -181,6 +183,7 @@
   std::uint64_t acknowledged_count_ = 0;
   std::uint64_t read_count_ = 0;
   std::uint64_t control_bytes_ = 0;
+  std::uint64_t state_update_count_ = 0;
 };
 
 // Text of a manifest for tests: "version content", where each letter of the
--- a/Source/UnitTests/Following/control_follower_test.cc
+++ b/Source/UnitTests/Following/control_follower_test.cc
@@ -73,14 +73,18 @@
                            .follow_interval = kInterval});
 }
 
-// Sends one request to the control instance and applies the update.
+// Sends the requests to the control instance that are due, and applies the
+// updates. After the first update another request may be due, for the published
+// state.
 void ExchangeUpdate(control_follower* follower, control_sender* from,
                     instant now) {
-  for (follow_request& request : follower->Requests(now, {})) {
-    if (request.to != from->name) continue;
-    feed_update update = from->feed.HandleFollow(
-        now, kLink, request.message.follow(), from->Content());
-    follower->Apply(now, from->name, update.message.update());
+  for (int round = 0; round < 2; ++round) {
+    for (follow_request& request : follower->Requests(now, {})) {
+      if (request.to != from->name) continue;
+      feed_update update = from->feed.HandleFollow(
+          now, kLink, request.message.follow(), from->Content());
+      follower->Apply(now, from->name, update.message.update());
+    }
   }
 }
 
@@ -112,6 +116,33 @@
     REQUIRE(follower.version().value == 5);
     REQUIRE(follower.state().routes.size() == 5);
   }
+  SECTION("the published state comes from one control instance") {
+    second_control.Publish(2, 5);
+    now += kInterval;
+    ExchangeUpdate(&follower, &first_control, now);
+    now += kInterval;
+    ExchangeUpdate(&follower, &second_control, now);
+    const instance_name source = follower.state_source().value();
+    first_control.Publish(3, 6);
+    second_control.Publish(3, 6);
+    now += milliseconds(60);
+    for (control_sender* control : {&first_control, &second_control}) {
+      auto updates = control->feed.Push(now, control->Content(), false);
+      REQUIRE(updates.size() == 1);
+      const wire::update& update = updates.front().message.update();
+      REQUIRE(update.state_to() == 3);
+      REQUIRE(update.has_state() == (control->name == source));
+    }
+    SECTION("and from the other one if the source doesn't deliver it") {
+      control_sender& other =
+          source == kFirstControl ? second_control : first_control;
+      ExchangeUpdate(&follower, &other, now + milliseconds(600));
+      REQUIRE(follower.version().value == 5);
+      ExchangeUpdate(&follower, &other, now + milliseconds(1700));
+      REQUIRE(follower.version().value == 6);
+      REQUIRE(follower.state_source() == other.name);
+    }
+  }
   SECTION("a draining target is pushed between two requests") {
     first_control.registry.Report(now, Report(1, 2, target_phase::kDraining));
     now += milliseconds(60);
