Control tests: large entries while some instances run an older build

References to entries must not be sent to instances that don't know them. In two tests, messages from and to instances 1 and 3 of 5 lose the new fields and bodies.

--- a/Source/UnitTests/Control/fleet_run_test.cc
+++ b/Source/UnitTests/Control/fleet_run_test.cc
@@ -285,6 +285,15 @@
 constexpr milliseconds kOperatorTimeout{6000};
 constexpr milliseconds kReadInterval{300};
 
+// Five control instances on such links.
+fleet_simulation_settings LimitedLinks(std::uint64_t seed) {
+  return {.seed = seed,
+          .controls = 5,
+          .entries = 1,
+          .tolerated_losses = 2,
+          .link_bytes_per_s = kLinkBytesPerS};
+}
+
 // Content of a manifest with about `bytes` bytes.
 std::string LargeContent(std::size_t bytes) {
   return "abc " + std::string(bytes, 'x');
@@ -307,11 +316,7 @@
 
 TEST_CASE("a manifest larger than a round transfers is acknowledged in time") {
   testing::ForEachSeed([](std::uint64_t seed) {
-    fleet_simulation fleet({.seed = seed,
-                            .controls = 5,
-                            .entries = 1,
-                            .tolerated_losses = 2,
-                            .link_bytes_per_s = kLinkBytesPerS});
+    fleet_simulation fleet(LimitedLinks(seed));
     fleet.Run(kBootstrapTime);
     REQUIRE(fleet.PublishUntilDone(1, seconds(2)));
     INFO("seed " << seed);
@@ -328,11 +333,7 @@
 TEST_CASE("a large entry is sent to each voter once") {
   constexpr std::size_t kBytes = 760'000;
   constexpr std::uint64_t kMaxBytes = 4 * kBytes * 11 / 10;
-  fleet_simulation fleet({.seed = 14,
-                          .controls = 5,
-                          .entries = 1,
-                          .tolerated_losses = 2,
-                          .link_bytes_per_s = kLinkBytesPerS});
+  fleet_simulation fleet(LimitedLinks(14));
   fleet.Run(kBootstrapTime);
   REQUIRE(fleet.PublishUntilDone(1, seconds(2)));
   fleet.Run(seconds(1));
@@ -359,6 +360,49 @@
   }
 }
 
+TEST_CASE("a large entry is chosen while some instances run an older build") {
+  constexpr std::size_t kBytes = 100'000;
+  testing::ForEachSeed([](std::uint64_t seed) {
+    fleet_simulation_settings settings = LimitedLinks(seed);
+    settings.older_builds = {1, 3};
+    fleet_simulation fleet(settings);
+    fleet.Run(kBootstrapTime);
+    INFO("seed " << seed);
+    REQUIRE(fleet.PublishUntilDone(1, seconds(2)));
+    for (const std::size_t proposer : {0, 1}) {
+      const std::uint64_t version = 2 + proposer;
+      fleet.Publish(proposer, version, LargeContent(kBytes));
+      fleet.Run(kOperatorTimeout);
+      REQUIRE(fleet.newest_acknowledged() == version);
+      for (std::size_t i = 0; i < fleet.control_count(); ++i) {
+        REQUIRE(fleet.control(i).published().published().version.value ==
+                version);
+      }
+    }
+  });
+}
+
+TEST_CASE("a large entry that older builds accepted is completed") {
+  testing::ForEachSeed([](std::uint64_t seed) {
+    fleet_simulation_settings settings = LimitedLinks(seed);
+    settings.older_builds = {1, 3};
+    fleet_simulation fleet(settings);
+    fleet.Run(kBootstrapTime);
+    INFO("seed " << seed);
+    REQUIRE(fleet.PublishUntilDone(1, seconds(2)));
+    // Of the remaining voters, all three are needed. The proposer has received
+    // their promises, and receives nothing after them.
+    fleet.Kill(4);
+    fleet.Publish(0, 2, LargeContent(100'000));
+    fleet.Run(milliseconds(20));
+    fleet.Partition({1, 2, 3}, true);
+    fleet.Run(kOperatorTimeout);
+    for (const std::size_t i : {1, 2, 3}) {
+      REQUIRE(fleet.control(i).published().published().version.value == 2);
+    }
+  });
+}
+
 TEST_CASE("an entry instance gets the published state from one source") {
   constexpr std::size_t kEntries = 6;
   fleet_simulation fleet(
@@ -393,11 +437,7 @@
 }
 
 TEST_CASE("a proposer without answers delays the others only once") {
-  fleet_simulation fleet({.seed = 12,
-                          .controls = 5,
-                          .entries = 1,
-                          .tolerated_losses = 2,
-                          .link_bytes_per_s = kLinkBytesPerS});
+  fleet_simulation fleet(LimitedLinks(12));
   fleet.Run(kBootstrapTime);
   REQUIRE(fleet.PublishUntilDone(1, seconds(2)));
   // Instance 0 still sends to the others, but receives nothing from them.
--- a/Source/UnitTests/Control/fleet_simulation.cc
+++ b/Source/UnitTests/Control/fleet_simulation.cc
@@ -272,7 +272,8 @@
     control_bytes_ += bytes;
     const microseconds time = TransferTime(i, *to, bytes);
     queue_.ScheduleAfter(
-        time, [this, i, to, link, message = std::move(send->message)] {
+        time, [this, i, to, link,
+               message = ConvertForOlderBuilds(i, *to, send->message)] {
           if (!IsBlocked(i, *to)) Deliver(*to, link, message);
         });
   } else if (auto* reply = std::get_if<send_to_follower>(effect)) {
@@ -284,6 +285,27 @@
   return true;
 }
 
+wire::fleet_message fleet_simulation::ConvertForOlderBuilds(
+    std::size_t from, std::size_t to, wire::fleet_message message) const {
+  const auto& older = settings_.older_builds;
+  if (!message.has_agreement() ||
+      (!older.contains(from) && !older.contains(to))) {
+    return message;
+  }
+  wire::agreement_message* body = message.mutable_agreement();
+  if (body->has_prepare()) {
+    body->mutable_prepare()->clear_held();
+    body->mutable_prepare()->clear_transfer_ms();
+  } else if (body->has_promise()) {
+    body->mutable_promise()->clear_knows_references();
+  } else if (body->has_reject()) {
+    body->mutable_reject()->clear_wait_ms();
+  } else if (body->has_accept_again() || body->has_chosen_again()) {
+    body->clear_body();
+  }
+  return message;
+}
+
 void fleet_simulation::Deliver(std::size_t to, const link_id& link,
                                const wire::fleet_message& message) {
   control_node& node = controls_[to];
--- a/Source/UnitTests/Control/fleet_simulation.h
+++ b/Source/UnitTests/Control/fleet_simulation.h
@@ -38,6 +38,9 @@
   // Rate of each control instance's link, in each direction; 0 for a link
   // without a limit. Only messages between control instances use it.
   std::uint64_t link_bytes_per_s = 0;
+  // Control instances that exchange messages without the fields and messages
+  // that builds before references to entries don't know.
+  std::set<std::size_t> older_builds;
   // Deliberate fault: a replaced disk keeps the storage id of the lost one.
   bool reuses_lost_storage_id = false;
 };
@@ -150,6 +153,9 @@
   // Calls `write` unless the disk has failed before. Returns false if the disk
   // fails in this call.
   bool Write(std::size_t i, const std::function<storage_result()>& write);
+  // Removes what an older build at either end doesn't know.
+  wire::fleet_message ConvertForOlderBuilds(std::size_t from, std::size_t to,
+                                            wire::fleet_message message) const;
   void Deliver(std::size_t to, const link_id& link,
                const wire::fleet_message& message);
   void DeliverToEntry(std::size_t to, const wire::fleet_message& message);
