--- a/Source/UnitTests/Control/fleet_simulation.cc
+++ b/Source/UnitTests/Control/fleet_simulation.cc
@@ -31,7 +31,7 @@
   return decoded;
 }
 
-fleet_simulation::fleet_simulation(fleet_simulation_settings settings)
+fleet_simulation::fleet_simulation(const fleet_simulation_settings& settings)
     : settings_(settings), random_(settings.seed) {
   for (std::size_t i = 0; i < settings.controls; ++i) AddControlNode();
   for (std::size_t i = 0; i < settings.controls; ++i) Start(i);
--- a/Source/UnitTests/Control/fleet_simulation.h
+++ b/Source/UnitTests/Control/fleet_simulation.h
@@ -49,7 +49,7 @@
 // from 0.
 class fleet_simulation {
  public:
-  explicit fleet_simulation(fleet_simulation_settings settings);
+  explicit fleet_simulation(const fleet_simulation_settings& settings);
 
   event_queue& queue() { return queue_; }
   instant Now() const { return queue_.Now(); }
