Forwarding: new connections are limited by the link of the instance

Callers saw nearly nothing served at 12 to 16 times the steady load, urgent requests like patient ones, until seconds after the load had ended. Cause: the sending side of the instance's link was full, and resets waited in the same queue until callers had retransmitted and given up. Change: a token bucket at 0.80 of the link's rate from the settings, spent by priority, first opening packets before retransmitted ones; resets have 0.12 of the link, beyond it a refused opening is dropped.

--- a/Source/Config/fleet_settings.h
+++ b/Source/Config/fleet_settings.h
@@ -19,6 +19,7 @@
 struct entry_role_settings {
   ipv4_endpoint packets;    // UDP, callers' packets.
   ipv4_endpoint readiness;  // HTTP, readiness probes.
+  double link_mbps = 0;     // Rate of the network link, Mbit/s; 0 if unknown.
 };
 // Settings of a control instance.
 struct control_role_settings {
--- a/Source/Entry/entry_instance.cc
+++ b/Source/Entry/entry_instance.cc
@@ -37,7 +37,8 @@
                  .is_control = false,
                  .seeds = settings_.seeds,
                  .follow_interval = kFollowInterval}),
-      router_(&follower_.state(), settings_.data_centre, settings_.seed),
+      router_(&follower_.state(), settings_.data_centre, settings_.seed,
+              settings_.link_capacity),
       held_(kHeldPacketLimits) {
   if (settings_.choose) router_.set_target_selector(settings_.choose);
   if (settings_.refuse) router_.set_refusal_policy(settings_.refuse);
--- a/Source/Entry/entry_instance.h
+++ b/Source/Entry/entry_instance.h
@@ -20,6 +20,8 @@
   data_centre_name data_centre;
   // Control instances to start from; their updates list the others.
   std::vector<instance_name> seeds;
+  // Rate of the network link; unlimited if empty.
+  std::optional<bytes_per_s> link_capacity = {};
   // Seed of the random numbers for routing.
   std::uint64_t seed = 0;
   // Time from the stop request until the platform kills the process.
--- a/Source/Forwarding/flow_router.cc
+++ b/Source/Forwarding/flow_router.cc
@@ -57,6 +57,8 @@
       return "no_target";
     case forward_reason::kOverloaded:
       return "overloaded";
+    case forward_reason::kLinkFull:
+      return "link_full";
     case forward_reason::kTargetOver:
       return "target_over";
     case forward_reason::kTargetLost:
@@ -72,12 +74,14 @@
 }
 
 flow_router::flow_router(const routing_state* state,
-                         data_centre_name own_data_centre, std::uint64_t seed)
+                         data_centre_name own_data_centre, std::uint64_t seed,
+                         std::optional<bytes_per_s> link_capacity)
     : state_(state),
       own_data_centre_(std::move(own_data_centre)),
       random_(seed),
       demand_(kDemandWindow),
       recent_demand_(kRecentDemandWindow),
+      link_(link_capacity),
       attempts_(kMaxAttempts) {
   target_selector_ =
       [this](instant now, const std::vector<const known_target*>& candidates) {
@@ -90,12 +94,21 @@
   return packet.opens ? PlaceFlow(now, packet) : ForwardFollowing(now, packet);
 }
 
+forward_decision flow_router::Refuse(instant now, const reset_caller& reset) {
+  if (link_.TakeReset(now)) return reset;
+  return drop_packet{reset.reason};
+}
+
 forward_decision flow_router::PlaceFlow(instant now,
                                         const flow_packet& packet) {
   auto found_route = state_->routes.find(packet.flow.route);
   if (found_route == state_->routes.end()) {
     return reset_caller{forward_reason::kNoRoute};
   }
+  if (!link_.CanOpen(now, found_route->second.priority,
+                     packet.retransmission > 0)) {
+    return Refuse(now, {forward_reason::kLinkFull});
+  }
   target_tag unanswered;
   service_name service;
   if (auto previous = attempts_.Remove(packet.flow)) {
@@ -117,11 +130,12 @@
   if (candidates_.empty()) return reset_caller{forward_reason::kNoTarget};
   if (auto pressure =
           CheckOverload(now, service, found_route->second.priority)) {
-    return reset_caller{forward_reason::kOverloaded, *pressure};
+    return Refuse(now, {forward_reason::kOverloaded, *pressure});
   }
   SelectDataCentre(service);
   const known_target* target = target_selector_(now, candidates_);
   load_.RecordOpening(now, target->tag);
+  link_.RecordOpened(now, packet.datagram_bytes);
   load_.ChangePending(now, target->tag, 1);
   attempts_.Insert(packet.flow, {target->tag, service, now});
   return forward_to_target{target, unanswered.value == 0
@@ -135,6 +149,7 @@
     return reset_caller{forward_reason::kNoRoute};
   }
   if (packet.tag.value == 0) return drop_packet{forward_reason::kNoTag};
+  link_.RecordFollowing(now, packet.datagram_bytes);
   if (auto attempt = attempts_.Remove(packet.flow)) {
     load_.ChangePending(now, attempt->tag, -1);
     load_.RecordAnswered(now, packet.tag);
@@ -319,6 +334,7 @@
                      load_.ChangePending(now, expired.tag, -1);
                    });
   load_.EraseIdle(now);
+  link_.Tick(now);
   std::erase_if(refusal_levels_, [this](const auto& entry) {
     return !state_->priorities.contains(entry.first);
   });
--- a/Source/Forwarding/flow_router.h
+++ b/Source/Forwarding/flow_router.h
@@ -17,6 +17,7 @@
 #include "Common/latency_histogram.h"
 #include "Forwarding/demand.h"
 #include "Forwarding/flow_cache.h"
+#include "Forwarding/link_budget.h"
 #include "Forwarding/open_attempts.h"
 #include "Forwarding/overload.h"
 #include "Forwarding/packet.h"
@@ -56,9 +57,11 @@
 class flow_router {
  public:
   // `state` must outlive the router. `own_data_centre` is the data centre of
-  // the callers that use this instance.
+  // the callers that use this instance. `link_capacity` is the rate of its
+  // network link; unlimited if empty.
   flow_router(const routing_state* state, data_centre_name own_data_centre,
-              std::uint64_t seed);
+              std::uint64_t seed,
+              std::optional<bytes_per_s> link_capacity = std::nullopt);
 
   // Decides what to do with one packet, and updates the observed load and
   // demand by it.
@@ -87,6 +90,7 @@
     return refusal_levels_;
   }
   const demand_meter& demand() const { return demand_; }
+  const link_budget& link() const { return link_; }
   // Packets that targets didn't answer, to be reported to the control
   // instances.
   unanswered_packets& unanswered() { return unanswered_; }
@@ -99,6 +103,9 @@
   const latency_histogram& connect_latency() const { return connect_latency_; }
 
  private:
+  // Resets the caller of a new connection, or drops the packet if there is no
+  // room for the reset on the link: it would arrive too late.
+  forward_decision Refuse(instant now, const reset_caller& reset);
   // Selects a target for an opening packet, or refuses it.
   forward_decision PlaceFlow(instant now, const flow_packet& packet);
   // Forwards a packet of an open connection to the target of its tag.
@@ -130,6 +137,7 @@
   std::unordered_map<service_name, refusal_level> refusal_levels_;
   latency_histogram connect_latency_;
   target_load load_;
+  link_budget link_;
   open_attempts attempts_;
   response_time_estimator response_times_;
   request_tracker requests_;
--- a/Source/Forwarding/packet.h
+++ b/Source/Forwarding/packet.h
@@ -27,8 +27,9 @@
   std::uint32_t retransmission = 0;
   target_tag tag;  // Target of the connection; 0 in an opening packet.
   std::uint32_t sequence = 0;
-  std::uint32_t acknowledged = 0;  // Acknowledgement number.
-  std::uint32_t data_bytes = 0;    // Payload without headers.
+  std::uint32_t acknowledged = 0;    // Acknowledgement number.
+  std::uint32_t data_bytes = 0;      // Payload without headers.
+  std::uint32_t datagram_bytes = 0;  // With the header of the packet format.
 };
 
 // Why a packet is forwarded, reset or dropped.
@@ -39,6 +40,7 @@
   kNoRoute,        // No route for the address that the packet was sent to.
   kNoTarget,       // No target of the service accepts new connections.
   kOverloaded,     // The service's slots are needed for higher priorities.
+  kLinkFull,       // The link of this instance can't carry more connections.
   kTargetOver,     // The connection's target is gone or was replaced.
   kTargetLost,     // The connection's target doesn't answer or report.
   kNotYetCurrent,  // This instance has no manifest yet.
--- a/Source/Runtime/entry_loop.cc
+++ b/Source/Runtime/entry_loop.cc
@@ -29,11 +29,19 @@
 // Readiness probes answered concurrently, and the largest body of a probe.
 constexpr unsigned kReadinessThreads = 3;
 constexpr std::size_t kMaxReadinessBodyBytes = 4096;
+constexpr double kBytesPerMegabit = 125'000;
+
+std::optional<bytes_per_s> LinkCapacity(const fleet_settings& from) {
+  const auto& role = std::get<entry_role_settings>(from.role);
+  if (role.link_mbps <= 0) return std::nullopt;
+  return role.link_mbps * kBytesPerMegabit;
+}
 
 entry_settings EntrySettings(const fleet_settings& from) {
   return {.self = ControlName(from.self),
           .data_centre = from.data_centre,
           .seeds = ControlNames(from.seeds),
+          .link_capacity = LinkCapacity(from),
           .seed = RandomNumber(),
           .stop_within = from.stop_within};
 }
@@ -213,8 +221,12 @@
       LogPacket(now, packet, "flow_reset", reset->reason, nullptr,
                 reset->pressure);
     } else {
-      LogPacket(now, packet, "packet_dropped",
-                std::get<drop_packet>(decision).reason, nullptr);
+      const forward_reason reason = std::get<drop_packet>(decision).reason;
+      if (reason == forward_reason::kLinkFull ||
+          reason == forward_reason::kOverloaded) {
+        ++counts_.resets_left_out;
+      }
+      LogPacket(now, packet, "packet_dropped", reason, nullptr);
     }
   }
 
--- a/Source/Runtime/fleet_queries.cc
+++ b/Source/Runtime/fleet_queries.cc
@@ -88,6 +88,15 @@
   out.AddSingleSample("packets_unsent_total", "counter",
                       "Packets that the kernel didn't accept for sending.",
                       view.counts.unsent);
+  out.AddSingleSample("resets_left_out_total", "counter",
+                      "Refused opening packets that were dropped because the "
+                      "reset had no room on the link.",
+                      view.counts.resets_left_out);
+  out.BeginFamily("link_budget_fill_percent", "gauge",
+                  "Bytes that can be sent, as a share of the link budget; "
+                  "negative if it is overdrawn.");
+  out.AddSample("", static_cast<std::int64_t>(
+                        view.entry.router().link().Fill(view.now) * 100));
   out.BeginFamily(
       "connection_answer_seconds", "histogram",
       "Time from a connection's first packet to the caller's next one.");
--- a/Source/Runtime/fleet_queries.h
+++ b/Source/Runtime/fleet_queries.h
@@ -24,6 +24,9 @@
   // Packets for a target whose id the packet format can't express.
   std::uint64_t unaddressable = 0;
   std::uint64_t unsent = 0;  // Packets that the kernel didn't accept.
+  // Refused opening packets that were dropped because their reset had no room
+  // on the link.
+  std::uint64_t resets_left_out = 0;
 };
 
 // Counters of a control instance's event loop.
--- a/Source/UnitTests/Platform/documents_test.cc
+++ b/Source/UnitTests/Platform/documents_test.cc
@@ -188,6 +188,25 @@
   const auto& role = std::get<entry_role_settings>(settings.role);
   REQUIRE(ToString(role.packets) == "10.1.0.10:8172");
   REQUIRE(ToString(role.readiness) == "10.1.0.10:8167");
+  REQUIRE(role.link_mbps == 0);
+
+  SECTION("the rate of the link is optional") {
+    entry["limits"] = {{"link_mbps", 2.5}};
+    const auto limited = ParseSettings(entry.dump());
+    REQUIRE(
+        std::get<entry_role_settings>(std::get<fleet_settings>(limited).role)
+            .link_mbps == 2.5);
+    entry.erase("limits");
+    REQUIRE(
+        std::holds_alternative<fleet_settings>(ParseSettings(entry.dump())));
+  }
+  SECTION("an invalid rate of the link is refused") {
+    for (const json& invalid : {json(-1), json("fast")}) {
+      entry["limits"] = {{"link_mbps", invalid}};
+      REQUIRE(
+          std::holds_alternative<document_errors>(ParseSettings(entry.dump())));
+    }
+  }
 }
 
 // Changes, inserts or removes bytes at 1 to 5 random places of the text.
--- a/Source/UnitTests/Platform/packet_format_test.cc
+++ b/Source/UnitTests/Platform/packet_format_test.cc
@@ -84,6 +84,7 @@
     const auto packet = DecodePacket(bytes);
     if (packet) {
       RC_ASSERT(packet->data_bytes == bytes.size() - kHeaderBytes);
+      RC_ASSERT(packet->datagram_bytes == bytes.size());
       RC_ASSERT(EncodeReset(*packet).size() == kHeaderBytes);
     }
   });
