Entry: withdraw readiness while no open data centre can be reached

The instances of a data centre that was closed by order stayed ready when a partition separated them from the open ones, so that their callers waited for targets that didn't answer. A reducer now decides from the updates of the control instances and from the outcome of openings by data centre.

--- a/Source/Entry/entry_instance.cc
+++ b/Source/Entry/entry_instance.cc
@@ -1,5 +1,7 @@
 #include "Entry/entry_instance.h"
 
+#include <algorithm>
+
 namespace lavendertack {
 namespace {
 
@@ -38,7 +40,15 @@
                  .seeds = settings_.seeds,
                  .follow_interval = kFollowInterval}),
       router_(&follower_.state(), settings_.data_centre, settings_.seed),
-      held_(kHeldPacketLimits) {
+      held_(kHeldPacketLimits),
+      withdrawal_(settings_.data_centre) {
+  router_.set_opening_observer([this](instant now, target_tag tag, instant sent,
+                                      bool answered) {
+    const known_target* target = follower_.state().targets.FindByTag(tag);
+    if (target == nullptr) return;
+    withdrawal_.Reduce(
+        now, opening_outcome{target->report.data_centre, tag, sent, answered});
+  });
   if (settings_.choose) router_.set_target_selector(settings_.choose);
   if (settings_.refuse) router_.set_refusal_policy(settings_.refuse);
 }
@@ -46,6 +56,9 @@
 forward_decision entry_instance::Route(instant now, const flow_packet& packet) {
   last_packet_at_ = now;
   if (auto reason = ReasonToHold(now, packet)) return hold_packet{*reason};
+  if (packet.opens && withdrawal_.RefuseOpening(now)) {
+    return reset_caller{forward_reason::kUnreachable};
+  }
   forward_decision decision = router_.Route(now, packet);
   // A control instance that lost its disk learns its targets from their next
   // reports.
@@ -80,9 +93,35 @@
     CollectLostFlows(now, change->id);
     if (change->replaced) CollectLostFlows(now, *change->replaced);
   }
+  ReviewWithdrawal(now);
   return events;
 }
 
+void entry_instance::ReviewWithdrawal(instant now) {
+  const routing_state& known = follower_.state();
+  if (!known.has_manifest) return;
+  followed_state state{.closed = known.closed, .others = {}};
+  // While the own data centre is open, the rest of the state has no effect.
+  if (known.closed.contains(settings_.data_centre)) {
+    for (const auto& [name, control] : follower_.controls()) {
+      if (control.data_centre == settings_.data_centre) continue;
+      data_centre_contact& contact = state.others[control.data_centre];
+      contact.has_controls = true;
+      contact.last_update = std::max(contact.last_update, control.last_update);
+    }
+    for (const auto& [id, target] : known.targets.targets()) {
+      const data_centre_name& name = target->report.data_centre;
+      if (name == settings_.data_centre || !target->AcceptsNewFlows(now)) {
+        continue;
+      }
+      state.others[name].has_targets = true;
+    }
+  }
+  if (auto change = withdrawal_.Reduce(now, state)) {
+    withdrawal_changes_.push_back(*change);
+  }
+}
+
 void entry_instance::CollectLostFlows(instant now, const target_id& id) {
   const known_target* target = follower_.state().targets.Find(id);
   if (target == nullptr) return;
@@ -102,7 +141,9 @@
 
 std::vector<follower_event> entry_instance::Tick(instant now) {
   router_.Tick(now);
-  return follower_.Tick(now);
+  auto events = follower_.Tick(now);
+  ReviewWithdrawal(now);
+  return events;
 }
 
 void entry_instance::Stop(instant now) {
@@ -110,7 +151,8 @@
 }
 
 bool entry_instance::IsReady(instant now) const {
-  return !stop_requested_at_ && follower_.IsSynced(now);
+  return !stop_requested_at_ && follower_.IsSynced(now) &&
+         !withdrawal_.IsWithdrawn();
 }
 
 bool entry_instance::CanExit(instant now) const {
--- a/Source/Entry/entry_instance.h
+++ b/Source/Entry/entry_instance.h
@@ -10,6 +10,7 @@
 
 #include "Common/instant.h"
 #include "Entry/held_packets.h"
+#include "Entry/withdrawal.h"
 #include "Following/control_follower.h"
 #include "Forwarding/flow_router.h"
 
@@ -49,6 +50,10 @@
   std::vector<flow_packet> TakeLostFlows() {
     return std::exchange(lost_flows_, {});
   }
+  // Changes of the withdrawal since the last call, for the log.
+  std::vector<withdrawal_change> TakeWithdrawalChanges() {
+    return std::exchange(withdrawal_changes_, {});
+  }
   // Requests to control instances that are due at `now`.
   std::vector<follow_request> Requests(instant now);
   // Call it when a request couldn't be sent.
@@ -73,10 +78,13 @@
   const entry_settings& settings() const { return settings_; }
   const control_follower& follower() const { return follower_; }
   const flow_router& router() const { return router_; }
+  const withdrawal& readiness() const { return withdrawal_; }
 
  private:
   // Adds the flows of the target to `lost_flows_` if it is lost or replaced.
   void CollectLostFlows(instant now, const target_id& id);
+  // Applies the followed state to the withdrawal.
+  void ReviewWithdrawal(instant now);
   // Why the packet can't be decided on before more of the state is known;
   // nullopt if it can.
   std::optional<forward_reason> ReasonToHold(instant now,
@@ -87,6 +95,8 @@
   flow_router router_;
   held_packets held_;
   std::vector<flow_packet> lost_flows_;
+  withdrawal withdrawal_;
+  std::vector<withdrawal_change> withdrawal_changes_;
   // When unanswered packets were last reported to the control instances.
   instant last_unanswered_report_;
   std::optional<instant> stop_requested_at_;
--- a/Source/Forwarding/flow_router.cc
+++ b/Source/Forwarding/flow_router.cc
@@ -57,6 +57,8 @@
       return "no_target";
     case forward_reason::kOverloaded:
       return "overloaded";
+    case forward_reason::kUnreachable:
+      return "unreachable";
     case forward_reason::kTargetOver:
       return "target_over";
     case forward_reason::kTargetLost:
@@ -104,6 +106,7 @@
       unanswered = previous->tag;
       load_.RecordUnanswered(now, unanswered);
       unanswered_.RecordUnanswered(unanswered);
+      opening_observer_(now, unanswered, previous->sent, false);
     }
     service = previous->service;
   }
@@ -139,6 +142,7 @@
     load_.ChangePending(now, attempt->tag, -1);
     load_.RecordAnswered(now, packet.tag);
     unanswered_.RecordAnswered(packet.tag);
+    opening_observer_(now, packet.tag, attempt->sent, true);
     connect_latency_.Observe(now - attempt->sent);
     response_times_.ObserveHandshake(
         std::chrono::duration_cast<microseconds>(now - attempt->sent));
--- a/Source/Forwarding/flow_router.h
+++ b/Source/Forwarding/flow_router.h
@@ -52,6 +52,11 @@
     std::function<double(slot_pressure level, std::uint32_t priority,
                          const std::set<std::uint32_t>& priorities)>;
 
+// Is called with the outcome of an opening packet that was forwarded at `sent`:
+// the target has answered, or the caller has retransmitted it.
+using opening_observer = std::function<void(instant now, target_tag target,
+                                            instant sent, bool answered)>;
+
 // Routes the packets of one entry instance.
 class flow_router {
  public:
@@ -77,6 +82,9 @@
   void set_refusal_policy(refusal_policy policy) {
     refusal_policy_ = std::move(policy);
   }
+  void set_opening_observer(opening_observer observer) {
+    opening_observer_ = std::move(observer);
+  }
   // Pressure on a service with `slots` slots by the demand at all entry
   // instances. 0 while its response time hasn't been measured.
   slot_pressure Pressure(instant now, const service_name& service,
@@ -138,6 +146,8 @@
   instant last_tick_;
   target_selector target_selector_;
   refusal_policy refusal_policy_ = RefusedShare;
+  opening_observer opening_observer_ = [](instant, target_tag, instant, bool) {
+  };
   // Kept between calls of FindCandidates to avoid allocations.
   std::vector<const known_target*> candidates_;
   std::vector<const known_target*> not_reporting_;
--- a/Source/Forwarding/packet.h
+++ b/Source/Forwarding/packet.h
@@ -39,6 +39,7 @@
   kNoRoute,        // No route for the address that the packet was sent to.
   kNoTarget,       // No target of the service accepts new connections.
   kOverloaded,     // The service's slots are needed for higher priorities.
+  kUnreachable,    // No data centre with usable targets can be reached.
   kTargetOver,     // The connection's target is gone or was replaced.
   kTargetLost,     // The connection's target doesn't answer or report.
   kNotYetCurrent,  // This instance has no manifest yet.
--- a/Source/Runtime/entry_loop.cc
+++ b/Source/Runtime/entry_loop.cc
@@ -134,7 +134,26 @@
     log_.Tick(now);
   }
 
+  void LogWithdrawal(const withdrawal_change& change) {
+    log_.Write("withdrawal",
+               {{"from", ToString(change.from)},
+                {"to", ToString(change.to)},
+                {"cause", ToString(change.cause)},
+                {"open_data_centres",
+                 static_cast<std::int64_t>(change.open_data_centres)},
+                {"controls_silent_ms", change.controls_silent.count()},
+                {"openings_silent_ms", change.openings_silent.count()},
+                {"unanswered_openings",
+                 static_cast<std::int64_t>(change.unanswered_openings)},
+                {"unanswered_targets",
+                 static_cast<std::int64_t>(change.unanswered_targets)},
+                {"return_after_ms", change.return_after.count()}});
+  }
+
   void UpdateReadiness(instant now) {
+    for (const auto& change : entry_.TakeWithdrawalChanges()) {
+      LogWithdrawal(change);
+    }
     const bool ready = entry_.IsReady(now);
     if (ready == ready_) return;
     ready_ = ready;
--- a/Source/Runtime/fleet_queries.cc
+++ b/Source/Runtime/fleet_queries.cc
@@ -67,6 +67,24 @@
       log.left_out());
 }
 
+void ExposeWithdrawal(const withdrawal& readiness, exposition_writer* out) {
+  out->BeginFamily("withdrawal_phase", "gauge",
+                   "1 for the phase that the instance is in: it is ready only "
+                   "while it is serving.");
+  for (const withdrawal_phase phase :
+       {withdrawal_phase::kStarting, withdrawal_phase::kServing,
+        withdrawal_phase::kUnreachable, withdrawal_phase::kReturning}) {
+    out->AddSample(FormatLabel("phase", ToString(phase)),
+                   phase == readiness.phase() ? 1 : 0);
+  }
+  out->BeginFamily("withdrawals_total", "counter",
+                   "Times that no open data centre could be reached while the "
+                   "own one was closed, by cause.");
+  for (const auto& [cause, count] : readiness.counts()) {
+    out->AddSample(FormatLabel("cause", ToString(cause)), count);
+  }
+}
+
 std::string EntryMetrics(const entry_query_view& view) {
   exposition_writer out;
   const control_follower& follower = view.entry.follower();
@@ -102,6 +120,7 @@
   out.AddSingleSample("ready", "gauge",
                       "Whether the instance is ready to receive callers.",
                       view.entry.IsReady(view.now) ? 1 : 0);
+  ExposeWithdrawal(view.entry.readiness(), &out);
   out.AddSingleSample("manifest_version", "gauge",
                       "Version of the manifest in use.",
                       follower.version().value);
