Entry: test that outcomes and updates from before a suspension don't count

Changes of two conditions (trial: openings sent before a suspension, a suspension during the start) failed no test; now each does.

--- a/Source/UnitTests/Entry/withdrawal_test.cc
+++ b/Source/UnitTests/Entry/withdrawal_test.cc
@@ -459,10 +459,36 @@
     }
   }
   SECTION("openings of before a suspension don't count") {
+    const instant sent = now;
     now += seconds(5);
     fail(100, 4);
+    readiness.Reduce(now, state);
+    // Read after the first review that follows the suspension.
+    for (std::uint32_t tag = 1; tag <= 100; ++tag) {
+      readiness.Reduce(now, opening_outcome{{"b"}, {tag}, sent});
+    }
     REQUIRE_FALSE(review(milliseconds(1450)));
+    REQUIRE(review(milliseconds(50))->unanswered_openings == 0);
+  }
+}
+
+TEST_CASE("a suspension during the start isn't taken for contact") {
+  withdrawal readiness({"a"});
+  instant now{seconds(100)};
+  followed_state state{.closed = {{"a"}}, .others = {}};
+  data_centre_contact& other = state.others[{"b"}];
+  other = {.has_controls = true, .has_targets = true};
+  readiness.Reduce(now, state);
+  now += seconds(5);
+  readiness.Reduce(now, state);
+  now += milliseconds(10);
+  other.last_update = now;  // Waited in a buffer.
+  for (int i = 0; i < 100; ++i) {
+    readiness.Reduce(now, state);
+    REQUIRE(readiness.IsWithdrawn());
+    now += milliseconds(50);
   }
+  REQUIRE(readiness.phase() == withdrawal_phase::kUnreachable);
 }
 
 }  // namespace
