Control: test the withdrawal of an entry instance with real control instances

The tests of Source/Entry use a fake of the control instances and can't show whether those of a data centre that is cut off still send what the withdrawal relies on: the closed data centres and the names of the others. The simulation can now isolate an entry instance.

--- a/Source/UnitTests/Control/fleet_run_test.cc
+++ b/Source/UnitTests/Control/fleet_run_test.cc
@@ -436,6 +436,57 @@
   }
 }
 
+// Guards against wrong assumptions on what the control instances of a data
+// centre that is cut off still send to its entry instances.
+TEST_CASE("an entry instance of a closed data centre that is cut off") {
+  constexpr std::size_t kEntry = 0;  // In dc-0, as control instance 0.
+  fleet_simulation fleet({.seed = 23, .controls = 4, .tolerated_losses = 1});
+  fleet.Run(kBootstrapTime);
+  REQUIRE(fleet.PublishUntilDone(1, seconds(2)));
+  bool is_closed = false;
+  fleet.SubmitOrder(1, set_evacuation{{"dc-0"}, true},
+                    [&](const order_outcome&) { is_closed = true; });
+  fleet.Run(seconds(3));
+  REQUIRE(is_closed);
+  const auto is_ready = [&] {
+    return fleet.entry(kEntry).IsReady(fleet.Now());
+  };
+  REQUIRE(is_ready());
+  fleet.Partition({0}, false);
+  fleet.IsolateEntry(kEntry, {0});
+  fleet.Run(milliseconds(1550));
+  REQUIRE_FALSE(is_ready());
+  REQUIRE(fleet.entry(1).IsReady(fleet.Now()));
+
+  SECTION("returns when the partition ends") {
+    fleet.Run(seconds(2));
+    fleet.Heal();
+    fleet.Run(milliseconds(2900));
+    REQUIRE_FALSE(is_ready());
+    fleet.Run(milliseconds(1100));
+    REQUIRE(is_ready());
+  }
+  SECTION("isn't ready as long as the partition lasts") {
+    for (int i = 0; i < 1200; ++i) {
+      fleet.Run(milliseconds(100));
+      REQUIRE_FALSE(is_ready());
+    }
+    fleet.Heal();
+    fleet.Run(seconds(5));
+    REQUIRE(is_ready());
+  }
+  SECTION("isn't ready after its restart either") {
+    fleet.RestartEntry(kEntry);
+    for (int i = 0; i < 500; ++i) {
+      fleet.Run(milliseconds(20));
+      REQUIRE_FALSE(is_ready());
+    }
+    fleet.Heal();
+    fleet.Run(seconds(5));
+    REQUIRE(is_ready());
+  }
+}
+
 TEST_CASE("a proposer without answers delays the others only once") {
   fleet_simulation fleet(LimitedLinks(12));
   fleet.Run(kBootstrapTime);
--- a/Source/UnitTests/Control/fleet_simulation.cc
+++ b/Source/UnitTests/Control/fleet_simulation.cc
@@ -184,6 +184,11 @@
   node.instance->Tick(Now());
   for (follow_request& request : node.instance->Requests(Now())) {
     if (auto to = FindControl(request.to)) {
+      const auto isolated = reachable_by_entry_.find(i);
+      if (isolated != reachable_by_entry_.end() &&
+          !isolated->second.contains(*to)) {
+        continue;
+      }
       const link_id link{"entry " + std::to_string(i) + " " +
                          std::to_string(incarnation) + " " + request.to.value};
       queue_.ScheduleAfter(Delay(),
--- a/Source/UnitTests/Control/fleet_simulation.h
+++ b/Source/UnitTests/Control/fleet_simulation.h
@@ -89,8 +89,16 @@
   // Blocks the links between the control instances in `group` and the others;
   // with `one_way` only those from the group.
   void Partition(const std::set<std::size_t>& group, bool one_way);
+  // Blocks the links between the entry instance and the control instances that
+  // aren't in `reachable`.
+  void IsolateEntry(std::size_t entry, const std::set<std::size_t>& reachable) {
+    reachable_by_entry_[entry] = reachable;
+  }
   // Unblocks all links.
-  void Heal() { blocked_links_.clear(); }
+  void Heal() {
+    blocked_links_.clear();
+    reachable_by_entry_.clear();
+  }
   // Starts another control instance at a new address, with an empty disk, and
   // returns its index.
   std::size_t AddControl();
@@ -180,6 +188,8 @@
   std::vector<control_node> controls_;
   std::vector<entry_node> entries_;
   std::set<std::pair<std::size_t, std::size_t>> blocked_links_;
+  // Control instances that isolated entry instances reach.
+  std::map<std::size_t, std::set<std::size_t>> reachable_by_entry_;
   std::uint64_t next_call_ = 0;
   // Manifest texts by version, as returned by reads.
   std::map<std::uint64_t, std::string> read_texts_;
