Targets: find slow and failing targets and reduce their weight

Cause: a target that is slow or answers errors, but reports that it is ready, gets as many new flows as the others. Change: entry instances classify the outcomes of requests and report the bad ones; control instances compare the targets of a service and publish a weight, by which new flows are spread.

--- a/Source/Config/fleet_settings.h
+++ b/Source/Config/fleet_settings.h
@@ -42,6 +42,8 @@
   port_number metrics_port;  // HTTP port for metrics and state.
   milliseconds heartbeat_interval{0};  // Time between two reports of a target.
   milliseconds stop_within{0};         // Time between SIGTERM and SIGKILL.
+  // Targets that are slow or fail are detected and get fewer new flows.
+  bool observe_targets = false;
   std::variant<entry_role_settings, control_role_settings> role;
 };
 
--- a/Source/Control/control_instance.cc
+++ b/Source/Control/control_instance.cc
@@ -188,6 +188,13 @@
 
 void control_instance::Handle(const target_report_received& event) {
   const report_result result = targets_.Report(now_, event.report);
+  if (result == report_result::kChanged) {
+    // A target that changes over from another control instance keeps its
+    // weight.
+    targets_.SetWeight(event.report.id,
+                       performance_.WeightOf(event.report.id,
+                                             event.report.version.started_ms));
+  }
   if (result != report_result::kUnchanged) {
     effects_.emplace_back(target_report_evaluated{event.report, result});
   }
@@ -220,6 +227,10 @@
         targets_.RecordAnswered({row.tag()});
       }
     }
+    if (settings_.observe_targets) {
+      performance_.AddReport({message.follow().data_centre()},
+                             DecodeOutcomes(message.follow()));
+    }
     auto update = feed_.HandleFollow(now_, event.link, message.follow(),
                                      MakeFeedContent());
     effects_.emplace_back(
@@ -238,6 +249,7 @@
     effects_.emplace_back(target_report_evaluated{
         targets_.targets().at(id).report, report_result::kChanged});
   }
+  EvaluateTargets();
   for (follower_event& log_event : follower_.Tick(now_)) {
     effects_.emplace_back(std::move(log_event));
   }
@@ -262,6 +274,49 @@
   SaveTargets();
 }
 
+std::vector<evaluated_target> control_instance::CollectTargets() const {
+  std::vector<evaluated_target> collected;
+  const auto collect = [&](const target_report& report) {
+    collected.push_back({.id = report.id,
+                         .service = report.service,
+                         .data_centre = report.data_centre,
+                         .slots = report.slots,
+                         .started_ms = report.version.started_ms,
+                         .is_ready = report.phase == target_phase::kReady,
+                         .published = std::nullopt});
+  };
+  const auto& own = targets_.targets();
+  for (const auto& [id, target] : own) {
+    // A silent target may report to another control instance.
+    if (target.report.phase == target_phase::kReady ||
+        target.report.phase == target_phase::kDraining) {
+      collect(target.report);
+    }
+  }
+  for (const auto& [id, target] : follower_.state().targets.targets()) {
+    if (target->IsTerminated()) continue;
+    if (auto it = own.find(id);
+        it != own.end() && it->second.report.phase != target_phase::kSilent) {
+      continue;
+    }
+    collect(target->report);
+    collected.back().published = target->report.weight;
+  }
+  return collected;
+}
+
+void control_instance::EvaluateTargets() {
+  if (!settings_.observe_targets || !performance_.IsDue(now_)) return;
+  for (weight_change& change : performance_.Evaluate(now_, CollectTargets())) {
+    auto it = targets_.targets().find(change.id);
+    const bool is_own = it != targets_.targets().end() &&
+                        it->second.report.phase == target_phase::kReady;
+    if (!is_own) continue;
+    targets_.SetWeight(change.id, change.to);
+    effects_.emplace_back(target_weight_changed{std::move(change)});
+  }
+}
+
 void control_instance::SaveTargets() {
   if (targets_.revision() == saved_revision_) return;
   if (last_save_at_ && now_ - *last_save_at_ < kTargetSaveInterval) return;
--- a/Source/Control/control_instance.h
+++ b/Source/Control/control_instance.h
@@ -23,6 +23,7 @@
 #include "Control/voter_plan.h"
 #include "Following/control_follower.h"
 #include "Manifest/published_state.h"
+#include "Targets/target_performance.h"
 #include "Targets/target_registry.h"
 
 namespace lavendertack {
@@ -42,6 +43,8 @@
   std::size_t tolerated_losses = 1;
   milliseconds heartbeat_interval{0};  // Time between two reports of a target.
   log_limits limits;                   // Size limits of the agreed log.
+  // Reduce the weight of targets that are slow or fail.
+  bool observe_targets = false;
 };
 
 // Identifies an operator's call until it is answered.
@@ -137,6 +140,10 @@
 struct save_targets {
   wire::target_snapshot targets;
 };
+// The weight of a target that reports to this instance changed. For the log.
+struct target_weight_changed {
+  weight_change change;
+};
 // This instance gained or lost contact with a majority of the voters.
 struct majority_changed {
   bool majority_reachable;
@@ -146,7 +153,7 @@
                  round_abandoned, answer_operator, send_to_control,
                  send_to_follower, target_report_evaluated, voters_planned,
                  state_published, majority_changed, save_targets,
-                 follower_event>;
+                 target_weight_changed, follower_event>;
 
 // The reducer. Not thread-safe.
 class control_instance {
@@ -166,6 +173,7 @@
   const published_state& published() const { return published_; }
   const agreement& agreed() const { return agreement_; }
   const target_registry& targets() const { return targets_; }
+  const target_performance& performance() const { return performance_; }
   const control_follower& peers() const { return follower_; }
   std::size_t follower_count() const { return feed_.size(); }
   // Whether this instance is in contact with a majority of the voters, itself
@@ -203,6 +211,12 @@
   // every follower.
   void PushUpdates(bool to_all);
   void SaveTargets();
+  // Compares the outcomes of the targets' requests if that is due, and applies
+  // the weights of the targets that report to this instance.
+  void EvaluateTargets();
+  // All targets that haven't ended, those of the other control instances
+  // included.
+  std::vector<evaluated_target> CollectTargets() const;
   feed_content MakeFeedContent() const;
   // This control instance and all others that have sent an update and their log
   // position.
@@ -213,6 +227,7 @@
   published_state published_;
   agreement agreement_;
   target_registry targets_;
+  target_performance performance_;
   control_follower follower_;
   follower_feed feed_;
   data_centre_closures closures_;
--- a/Source/Entry/entry_instance.cc
+++ b/Source/Entry/entry_instance.cc
@@ -23,6 +23,9 @@
 // Shortest time between two reports of unanswered packets to the control
 // instances.
 constexpr milliseconds kUnansweredReportInterval{150};
+// Time between two reports of the outcomes of requests. A multiple of
+// kFollowInterval, so that the reports need no additional messages.
+constexpr milliseconds kOutcomeReportInterval{1000};
 // Limits of the held packets. Callers abandon an attempt to connect after 1.4 s
 // and retransmit other packets after at most 1.6 s.
 constexpr held_packet_limits kHeldPacketLimits{.packets = 512,
@@ -39,6 +42,7 @@
                  .follow_interval = kFollowInterval}),
       router_(&follower_.state(), settings_.data_centre, settings_.seed),
       held_(kHeldPacketLimits) {
+  if (settings_.observe_targets) router_.ObserveOutcomes();
   if (settings_.choose) router_.set_target_selector(settings_.choose);
   if (settings_.refuse) router_.set_refusal_policy(settings_.refuse);
 }
@@ -97,7 +101,14 @@
     last_unanswered_report_ = now;
     unanswered = router_.unanswered().TakeReport(now);
   }
-  return follower_.Requests(now, router_.demand().Rates(now), unanswered);
+  outcome_report outcomes;
+  if (router_.outcomes() &&
+      now - last_outcome_report_ >= kOutcomeReportInterval) {
+    last_outcome_report_ = now;
+    outcomes = router_.outcomes()->TakeReport();
+  }
+  return follower_.Requests(now, router_.demand().Rates(now), unanswered,
+                            outcomes);
 }
 
 std::vector<follower_event> entry_instance::Tick(instant now) {
--- a/Source/Entry/entry_instance.h
+++ b/Source/Entry/entry_instance.h
@@ -24,6 +24,8 @@
   std::uint64_t seed = 0;
   // Time from the stop request until the platform kills the process.
   milliseconds stop_within{0};
+  // Observe the outcomes of requests and report them to control instances.
+  bool observe_targets = false;
   // Placement and load shedding for comparisons of strategies; the defaults are
   // used if these are empty.
   target_selector choose = {};
@@ -89,6 +91,8 @@
   std::vector<flow_packet> lost_flows_;
   // When unanswered packets were last reported to the control instances.
   instant last_unanswered_report_;
+  // When outcomes of requests were last reported to the control instances.
+  instant last_outcome_report_;
   std::optional<instant> stop_requested_at_;
   instant last_packet_at_;
 };
--- a/Source/Following/control_follower.cc
+++ b/Source/Following/control_follower.cc
@@ -218,7 +218,7 @@
 
 std::vector<follow_request> control_follower::Requests(
     instant now, const std::map<service_name, requests_per_s>& demand,
-    const unanswered_report& unanswered) {
+    const unanswered_report& unanswered, const outcome_report& outcomes) {
   std::vector<follow_request> requests;
   InitializeStateSource();
   for (auto& [name, control] : controls_) {
@@ -226,7 +226,7 @@
                           control.unanswered_requests < kMaxRetryRequests;
     const milliseconds interval =
         is_retry ? kRetryInterval : settings_.follow_interval;
-    if (unanswered.empty() && control.last_request &&
+    if (unanswered.empty() && outcomes.empty() && control.last_request &&
         now - *control.last_request < interval) {
       continue;
     }
@@ -253,6 +253,7 @@
       row->set_tag(tag.value);
       row->set_packets(packets);
     }
+    EncodeOutcomes(outcomes, follow);
     requests.push_back({name, std::move(message)});
   }
   return requests;
--- a/Source/Following/control_follower.h
+++ b/Source/Following/control_follower.h
@@ -21,6 +21,7 @@
 #include "Common/strong_type.h"
 #include "Forwarding/flow_router.h"
 #include "Forwarding/unanswered_packets.h"
+#include "Targets/outcome_report.h"
 #include "Wire/fleet.pb.h"
 
 namespace lavendertack {
@@ -112,10 +113,11 @@
                                     const wire::update& update);
   // Returns the requests that are due at `now`. `demand` is the rate of
   // callers' requests at this instance; rates below `kMinDemand` aren't sent.
-  // If `unanswered` isn't empty, all requests are due.
+  // If `unanswered` or `outcomes` isn't empty, all requests are due.
   std::vector<follow_request> Requests(
       instant now, const std::map<service_name, requests_per_s>& demand,
-      const unanswered_report& unanswered = {});
+      const unanswered_report& unanswered = {},
+      const outcome_report& outcomes = {});
   // Call it when a request couldn't be sent, as there is no connection to the
   // control instance: it's due again with the next call of `Requests`.
   void RequestNotSent(const instance_name& to);
--- a/Source/Following/target_codec.cc
+++ b/Source/Following/target_codec.cc
@@ -6,6 +6,11 @@
 namespace lavendertack {
 namespace {
 
+// Limits of the outcomes in one request, so that an invalid message can't
+// outweigh those of all other followers.
+constexpr int kMaxOutcomeRows = 256;
+constexpr std::uint32_t kMaxOutcomeCount = 10'000;
+
 wire::target_phase EncodePhase(target_phase phase) {
   switch (phase) {
     case target_phase::kReady:
@@ -51,6 +56,10 @@
   record.set_phase(EncodePhase(report.phase));
   record.set_unanswered(report.unanswered);
   record.set_restored(report.restored);
+  // Absent means the full weight, as in records of builds without weights.
+  if (report.weight < kFullWeight) {
+    record.set_weight_percent(report.weight.value);
+  }
   const auto cold_left =
       std::chrono::ceil<milliseconds>(target.cold_until - now).count();
   record.set_cold_left_ms(static_cast<std::uint32_t>(std::clamp<std::int64_t>(
@@ -74,7 +83,53 @@
       .phase = *phase,
       .cold_left = milliseconds(record.cold_left_ms()),
       .unanswered = *phase == target_phase::kSilent && record.unanswered(),
-      .restored = record.restored()};
+      .restored = record.restored(),
+      .weight = record.weight_percent() == 0
+                    ? kFullWeight
+                    : std::min(percent{record.weight_percent()}, kFullWeight)};
+}
+
+void EncodeOutcomes(const outcome_report& report, wire::follow* follow) {
+  for (const auto& [tag, outcomes] : report.targets) {
+    auto* row = follow->add_outcomes();
+    row->set_tag(tag.value);
+    row->set_slow(outcomes.slow);
+    row->set_too_short(outcomes.too_short);
+    row->set_no_answer(outcomes.no_answer);
+    row->set_slow_ratio(outcomes.slow_ratio);
+    row->set_callers(outcomes.callers.value);
+    row->set_requests(outcomes.requests);
+  }
+  for (const auto& [key, total] : report.totals) {
+    auto* row = follow->add_outcome_totals();
+    row->set_service(key.first.value);
+    row->set_data_centre(key.second.value);
+    row->set_requests(total.requests);
+    row->set_callers(total.callers.value);
+  }
+}
+
+outcome_report DecodeOutcomes(const wire::follow& follow) {
+  const auto limited = [](std::uint32_t count) {
+    return std::min(count, kMaxOutcomeCount);
+  };
+  outcome_report report;
+  for (int i = 0; i < std::min(follow.outcomes_size(), kMaxOutcomeRows); ++i) {
+    const wire::outcome_record& row = follow.outcomes(i);
+    report.targets[{row.tag()}] = {.slow = limited(row.slow()),
+                                   .too_short = limited(row.too_short()),
+                                   .no_answer = limited(row.no_answer()),
+                                   .slow_ratio = limited(row.slow_ratio()),
+                                   .callers = {row.callers()},
+                                   .requests = limited(row.requests())};
+  }
+  for (int i = 0; i < std::min(follow.outcome_totals_size(), kMaxOutcomeRows);
+       ++i) {
+    const wire::outcome_total& row = follow.outcome_totals(i);
+    report.totals[{{row.service()}, {row.data_centre()}}] = {
+        .requests = limited(row.requests()), .callers = {row.callers()}};
+  }
+  return report;
 }
 
 wire::route_record EncodeRoute(const route_change& change) {
--- a/Source/Following/target_codec.h
+++ b/Source/Following/target_codec.h
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "Manifest/published_state.h"
+#include "Targets/outcome_report.h"
 #include "Targets/target_registry.h"
 #include "Wire/fleet.pb.h"
 
@@ -17,6 +18,12 @@
 // or the port is above 65535.
 std::optional<target_report> DecodeTarget(const wire::target_record& record);
 
+// Adds the outcomes to a request.
+void EncodeOutcomes(const outcome_report& report, wire::follow* follow);
+// Decodes the outcomes in a request. The number of rows and the counts are
+// limited.
+outcome_report DecodeOutcomes(const wire::follow& follow);
+
 // Encodes a change of a route, which may be its removal.
 wire::route_record EncodeRoute(const route_change& change);
 // Decodes the shares and the priority of a route that wasn't removed.
--- a/Source/Forwarding/flow_router.cc
+++ b/Source/Forwarding/flow_router.cc
@@ -41,6 +41,11 @@
   return std::max<std::uint32_t>(1, target.report.slots);
 }
 
+// Share of the usual new flows that the target gets, above 0 and up to 1.
+double WeightOf(const known_target& target) {
+  return std::max<std::uint32_t>(1, target.report.weight.value) / 100.0;
+}
+
 }  // namespace
 
 const char* ToString(forward_reason reason) {
@@ -135,6 +140,7 @@
     return reset_caller{forward_reason::kNoRoute};
   }
   if (packet.tag.value == 0) return drop_packet{forward_reason::kNoTag};
+  const known_target* target = state_->targets.FindByTag(packet.tag);
   if (auto attempt = attempts_.Remove(packet.flow)) {
     load_.ChangePending(now, attempt->tag, -1);
     load_.RecordAnswered(now, packet.tag);
@@ -142,8 +148,12 @@
     connect_latency_.Observe(now - attempt->sent);
     response_times_.ObserveHandshake(
         std::chrono::duration_cast<microseconds>(now - attempt->sent));
+    if (outcomes_ && target != nullptr) {
+      outcomes_->ObserveHandshake(
+          target->report.data_centre,
+          std::chrono::duration_cast<microseconds>(now - attempt->sent));
+    }
   }
-  const known_target* target = state_->targets.FindByTag(packet.tag);
   if (target == nullptr) return drop_packet{forward_reason::kUnknownTag};
   if (target->replaced ||
       (target->IsTerminated() && now - target->changed > kTerminationGrace)) {
@@ -163,6 +173,7 @@
   // isn't part of the target's response time.
   if (now - last_tick_ <= kSuspensionThreshold) {
     response_times_.ObservePacket(now, packet, target->report.service);
+    if (outcomes_) outcomes_->Observe(now, packet, *target);
   }
   if (packet.data_bytes > 0) {
     load_.RecordRequest(now, packet.tag);
@@ -209,6 +220,12 @@
   return matched_route.shares.back().service;
 }
 
+bool flow_router::IsSkipped(const known_target& target) {
+  return target.report.weight < kFullWeight &&
+         std::uniform_real_distribution<double>(0, 1)(random_) >=
+             WeightOf(target);
+}
+
 void flow_router::FindCandidates(instant now, const service_name& service,
                                  target_tag unanswered) {
   candidates_.clear();
@@ -218,9 +235,10 @@
   for (const known_target* target : state_->targets.OfService(service)) {
     if (!target->AcceptsNewFlows(now)) continue;
     if (state_->closed.contains(target->report.data_centre)) continue;
-    open_slots_ += SlotsOf(*target);
+    open_slots_ += SlotsOf(*target) * WeightOf(*target);
     const bool is_suspect = target->tag == unanswered || target->IsLost(now) ||
-                            load_.IsSuspect(now, target->tag);
+                            load_.IsSuspect(now, target->tag) ||
+                            IsSkipped(*target);
     if (is_suspect) {
       suspects_.push_back(target);
     } else {
@@ -306,13 +324,18 @@
   const std::size_t second = random_() % candidates.size();
   const known_target* a = candidates[first];
   const known_target* b = candidates[second];
-  return load_.RecentRequests(now, a->tag) <= load_.RecentRequests(now, b->tag)
+  return load_.RecentRequests(now, a->tag) / WeightOf(*a) <=
+                 load_.RecentRequests(now, b->tag) / WeightOf(*b)
              ? a
              : b;
 }
 
 void flow_router::Tick(instant now) {
-  if (now - last_tick_ > kSuspensionThreshold) response_times_.DiscardPending();
+  if (now - last_tick_ > kSuspensionThreshold) {
+    response_times_.DiscardPending();
+    if (outcomes_) outcomes_->DiscardPending();
+  }
+  if (outcomes_) outcomes_->Tick(now);
   last_tick_ = now;
   attempts_.Expire(now - kAttemptLifetime,
                    [this, now](const open_attempt& expired) {
--- a/Source/Forwarding/flow_router.h
+++ b/Source/Forwarding/flow_router.h
@@ -20,6 +20,7 @@
 #include "Forwarding/open_attempts.h"
 #include "Forwarding/overload.h"
 #include "Forwarding/packet.h"
+#include "Forwarding/request_outcomes.h"
 #include "Forwarding/request_tracker.h"
 #include "Forwarding/response_time_estimator.h"
 #include "Forwarding/target_load.h"
@@ -90,6 +91,12 @@
   // Packets that targets didn't answer, to be reported to the control
   // instances.
   unanswered_packets& unanswered() { return unanswered_; }
+  // Starts to observe the outcomes of requests.
+  void ObserveOutcomes() { outcomes_.emplace(&state_->targets); }
+  // Outcomes to be reported to the control instances; empty unless they are
+  // observed.
+  std::optional<request_outcomes>& outcomes() { return outcomes_; }
+  const std::optional<request_outcomes>& outcomes() const { return outcomes_; }
   // If the target is lost or replaced, returns the last packet of each of its
   // recent flows, whose callers should get a reset.
   std::vector<flow_packet> TakeLostFlows(instant now,
@@ -109,6 +116,10 @@
   bool IsLost(instant now, const known_target& target) const;
   // Draws a service at random, by the weights of the route's shares.
   const service_name& PickService(const route& matched_route);
+  // Draws whether a target with a reduced weight is left out of the candidates
+  // for one new flow. With few targets, the division of the load by the weight
+  // alone wouldn't bound its share.
+  bool IsSkipped(const known_target& target);
   // Sets `candidates_` and `open_slots_`. `unanswered` is the target that
   // didn't answer the previous attempt, or 0.
   void FindCandidates(instant now, const service_name& service,
@@ -134,6 +145,7 @@
   response_time_estimator response_times_;
   request_tracker requests_;
   unanswered_packets unanswered_;
+  std::optional<request_outcomes> outcomes_;
   flow_cache flows_;
   instant last_tick_;
   target_selector target_selector_;
--- a/Source/Runtime/control_loop.cc
+++ b/Source/Runtime/control_loop.cc
@@ -29,6 +29,9 @@
 constexpr milliseconds kCallTimeout{4000};
 // Minimum time between two log lines about abandoned rounds.
 constexpr milliseconds kRoundLineInterval{1000};
+// Most log lines about targets' weights in this time; the others are counted.
+constexpr milliseconds kWeightLineWindow{1000};
+constexpr int kMaxWeightLines = 20;
 // Time between two attempts to reopen the log after a disk error.
 constexpr milliseconds kDiskRetryDelay{500};
 // Limits of the agreement log. Few entries are kept, since each manifest entry
@@ -49,7 +52,8 @@
                           .seed = RandomNumber(),
                           .tolerated_losses = role.tolerated_losses,
                           .heartbeat_interval = from.heartbeat_interval,
-                          .limits = kAgreementLogLimits};
+                          .limits = kAgreementLogLimits,
+                          .observe_targets = from.observe_targets};
   // An instance that was stopped during the bootstrap, before the first entry
   // was chosen, resumes it.
   if (role.bootstraps_fleet || has_stored_records) {
@@ -386,6 +390,27 @@
   void Apply(const majority_changed& effect) {
     log_.Write("majority", {{"heard", effect.majority_reachable}});
   }
+  void Apply(const target_weight_changed& effect) {
+    const weight_change& change = effect.change;
+    const instant now = Now();
+    ++counts_.weight_changes[change.finding];
+    if (now - weight_lines_since_ >= kWeightLineWindow) {
+      weight_lines_since_ = now;
+      weight_lines_ = 0;
+    }
+    if (++weight_lines_ > kMaxWeightLines) return;
+    log_.Write("target_weight",
+               {{"target", change.id.value},
+                {"service", change.service.value},
+                {"finding", ToString(change.finding)},
+                {"from_percent", static_cast<std::int64_t>(change.from.value)},
+                {"to_percent", static_cast<std::int64_t>(change.to.value)},
+                {"requests", static_cast<std::int64_t>(change.requests)},
+                {"slow", static_cast<std::int64_t>(change.slow)},
+                {"failed", static_cast<std::int64_t>(change.failed)},
+                {"usual_bad_percent",
+                 static_cast<std::int64_t>(change.usual_share * 100)}});
+  }
   void Apply(const follower_event& effect) { LogFollowerEvent(&log_, effect); }
 
   void LogOrder(const http_request& request, const order_outcome& outcome) {
@@ -435,6 +460,9 @@
   // A disk error that the reducer hasn't received yet.
   bool disk_failure_pending_ = false;
   std::optional<instant> last_round_line_at_;
+  // Start of the current window of weight lines, and the changes in it.
+  instant weight_lines_since_;
+  int weight_lines_ = 0;
   instant next_tick_;
 };
 
--- a/Source/Runtime/entry_loop.cc
+++ b/Source/Runtime/entry_loop.cc
@@ -35,7 +35,8 @@
           .data_centre = from.data_centre,
           .seeds = ControlNames(from.seeds),
           .seed = RandomNumber(),
-          .stop_within = from.stop_within};
+          .stop_within = from.stop_within,
+          .observe_targets = from.observe_targets};
 }
 
 endpoint ToEndpoint(const ipv4_endpoint& from) {
--- a/Source/Runtime/fleet_queries.cc
+++ b/Source/Runtime/fleet_queries.cc
@@ -99,6 +99,15 @@
     out.AddSample(FormatLabel("service", service.value),
                   static_cast<std::uint64_t>(level.value() * 100));
   }
+  if (const auto& outcomes = view.entry.router().outcomes()) {
+    out.BeginFamily("request_outcomes_total", "counter",
+                    "Requests whose outcome was observed, by outcome.");
+    for (std::size_t i = 0; i < outcomes->counts().size(); ++i) {
+      out.AddSample(
+          FormatLabel("outcome", ToString(static_cast<request_outcome>(i))),
+          outcomes->counts()[i]);
+    }
+  }
   out.AddSingleSample("ready", "gauge",
                       "Whether the instance is ready to receive callers.",
                       view.entry.IsReady(view.now) ? 1 : 0);
@@ -157,6 +166,17 @@
                       control.published().published().version.value);
   out.AddSingleSample("followers", "gauge", "Instances that follow this one.",
                       control.follower_count());
+  out.BeginFamily("reduced_targets", "gauge",
+                  "Targets of all services with a reduced weight, by finding.");
+  for (const auto& [finding, count] : control.performance().ReducedTargets()) {
+    out.AddSample(FormatLabel("finding", ToString(finding)), count);
+  }
+  out.BeginFamily("weight_changes_total", "counter",
+                  "Changed weights of targets that report to this instance, by "
+                  "finding.");
+  for (const auto& [finding, count] : view.counts.weight_changes) {
+    out.AddSample(FormatLabel("finding", ToString(finding)), count);
+  }
   ExposeFollower(view.now, control.peers(), &out);
   ExposeProcess(view.log, view.links, &out);
   return out.Text();
@@ -189,6 +209,7 @@
          {"phase",
           target->replaced ? "replaced" : ToString(target->report.phase)},
          {"tag", target->tag.value},
+         {"weight_percent", target->report.weight.value},
          {"cold_ms",
           std::max<std::int64_t>(0, DifferenceMs(target->cold_until, now))},
          {"sequence", target->report.version.sequence},
@@ -208,6 +229,7 @@
                     {"data_centre", target.report.data_centre.value},
                     {"phase", ToString(target.report.phase)},
                     {"tag", TagOf(id).value},
+                    {"weight_percent", target.report.weight.value},
                     {"cold_ms", std::max<std::int64_t>(
                                     0, DifferenceMs(target.cold_until, now))},
                     {"sequence", target.report.version.sequence},
--- a/Source/Targets/target_registry.cc
+++ b/Source/Targets/target_registry.cc
@@ -63,7 +63,9 @@
                        report.slots != target.report.slots ||
                        republish_next_.erase(report.id) > 0;
   if (changed) target.cold_until = cold_until;
+  const percent weight = restarted ? kFullWeight : target.report.weight;
   target.report = report;
+  target.report.weight = weight;
   target.last_report = now;
   target.unanswered_packets = 0;
   if (!changed) return report_result::kUnchanged;
@@ -77,6 +79,7 @@
   if (!added) return;
   it->second.report = report;
   it->second.report.restored = true;
+  it->second.report.weight = kFullWeight;
   it->second.last_report = silent_from - settings_.silent_after;
   RecordChange(&it->second);
 }
@@ -118,6 +121,13 @@
   }
 }
 
+void target_registry::SetWeight(const target_id& id, percent weight) {
+  auto it = targets_.find(id);
+  if (it == targets_.end() || it->second.report.weight == weight) return;
+  it->second.report.weight = weight;
+  RecordChange(&it->second);
+}
+
 bool target_registry::IsSilent(instant now,
                                const registered_target& target) const {
   const auto silence = now - target.last_report;
--- a/Source/Targets/target_registry.h
+++ b/Source/Targets/target_registry.h
@@ -80,6 +80,9 @@
   // Discards what was recorded of the target by `RecordUnanswered`: it has
   // answered since.
   void RecordAnswered(target_tag tag);
+  // Sets the weight of a registered target. It is kept until the target
+  // restarts; reports of the target don't change it.
+  void SetWeight(const target_id& id, percent weight);
   // Sets the phase of targets without a report for `silent_after` to kSilent
   // and returns their ids. For targets that don't answer callers' packets,
   // `unanswered_silent_after` applies. Erases ended and silent targets without
--- a/Source/Targets/target_report.h
+++ b/Source/Targets/target_report.h
@@ -32,6 +32,10 @@
   // NOLINTEND(modernize-use-nullptr)
 };
 
+// A share in percent.
+using percent = strong_type<struct percent_tag, std::uint32_t>;
+constexpr percent kFullWeight{100};
+
 // Lifecycle of a target.
 enum class target_phase {
   kReady,     // Accepts new flows.
@@ -59,6 +63,9 @@
   // A control instance has saved the report before its restart. The target may
   // have ended since, or report to another control instance.
   bool restored = false;
+  // Share of the usual new flows that the target gets; set by the control
+  // instance that it reports to.
+  percent weight = kFullWeight;
 };
 
 }  // namespace lavendertack
