--- a/Source/Forwarding/request_outcomes.cc
+++ b/Source/Forwarding/request_outcomes.cc
@@ -242,8 +242,8 @@
       if (now - request.last_progress >= kAnswerEnd) Conclude(&request, true);
     } else if (now - request.sent >= kMaxWait) {
       const auto usual = usual_.find(request.flow.route);
-      const bool is_prompt = usual != usual_.end() &&
-                             usual->second.prompt_share >= kPromptShare;
+      const bool is_prompt =
+          usual != usual_.end() && usual->second.prompt_share >= kPromptShare;
       if (is_prompt) {
         ConcludeWithoutAnswer(&request);
       } else {
@@ -258,8 +258,7 @@
 }
 
 outcome_report request_outcomes::TakeReport() {
-  outcome_report report{.targets = std::exchange(by_target_, {}),
-                        .totals = {}};
+  outcome_report report{.targets = std::exchange(by_target_, {}), .totals = {}};
   for (auto& [service, by_data_centre] : totals_) {
     for (auto& [data_centre, total] : by_data_centre) {
       if (total.requests == 0) continue;
--- a/Source/Targets/target_performance.cc
+++ b/Source/Targets/target_performance.cc
@@ -26,12 +26,15 @@
 // can be compared, isn't judged.
 constexpr double kMinRequests = 5;
 constexpr std::size_t kMinTargets = 3;
+// Quantile of the targets' shares of bad outcomes that counts as usual. Below
+// the median, because half of the targets in one data centre may be bad.
+constexpr double kUsualQuantile = 0.4;
 // A finding needs this many bad outcomes, of this many callers unless the
 // service has fewer.
 constexpr double kMinBad = 4;
 constexpr int kMinCallers = 3;
 // A finding needs a share of bad outcomes of at least this value, and this
-// multiple of the share of the median target.
+// multiple of the usual share.
 constexpr double kMinBadShare = 0.2;
 constexpr double kMinBadRatio = 3;
 // A finding needs a count this many standard deviations above the usual one.
@@ -66,12 +69,13 @@
   return std::popcount(current.value | previous.value);
 }
 
-double Median(std::vector<double> values) {
-  if (values.empty()) return 0;
-  const auto middle =
-      values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
-  std::nth_element(values.begin(), middle, values.end());
-  return *middle;
+double UsualShare(std::vector<double> shares) {
+  if (shares.empty()) return 0;
+  const auto usual =
+      shares.begin() + static_cast<std::ptrdiff_t>(
+                           kUsualQuantile * static_cast<double>(shares.size()));
+  std::nth_element(shares.begin(), usual, shares.end());
+  return *usual;
 }
 
 // Whether `bad` of `requests` outcomes differ from the usual share by more than
@@ -177,9 +181,8 @@
   };
   for (auto& [tag, by_reporter] : evidence_) {
     for (auto& [reporter, counts] : by_reporter) {
-      for (double* count :
-           {&counts.requests, &counts.slow, &counts.too_short,
-            &counts.no_answer, &counts.slow_ratio}) {
+      for (double* count : {&counts.requests, &counts.slow, &counts.too_short,
+                            &counts.no_answer, &counts.slow_ratio}) {
         *count *= kDecay;
       }
       rotate(&counts);
@@ -211,9 +214,8 @@
     starts[target.id] = target.started_ms;
     tags.insert(TagOf(target.id));
   }
-  std::erase_if(evidence_, [&](const auto& entry) {
-    return !tags.contains(entry.first);
-  });
+  std::erase_if(evidence_,
+                [&](const auto& entry) { return !tags.contains(entry.first); });
   for (auto it = reduced_.begin(); it != reduced_.end();) {
     auto found = starts.find(it->first);
     if (found != starts.end() && found->second == it->second.started_ms) {
@@ -296,7 +298,7 @@
     rows.push_back({target, seen});
   }
   comparison result;
-  result.usual_share = Median(bad_shares);
+  result.usual_share = UsualShare(std::move(bad_shares));
   const bool is_comparable = rows.size() >= kMinTargets;
   for (const auto& [target, seen] : rows) {
     auto finding = performance_finding::kNone;
@@ -347,9 +349,9 @@
     break;
   }
   if (blamers * 2 <= observers) return std::nullopt;
-  const bool is_own_view = comparisons.contains(target.data_centre) &&
-                           comparisons.at(target.data_centre)
-                               .targets.contains(target.id);
+  const bool is_own_view =
+      comparisons.contains(target.data_centre) &&
+      comparisons.at(target.data_centre).targets.contains(target.id);
   const bool is_mostly_unanswered =
       result.seen.no_answer > result.seen.slow + result.seen.too_short;
   if (!is_own_view && is_mostly_unanswered && blamers < 2) return std::nullopt;
@@ -408,9 +410,9 @@
   }
   const evidence probes = state.probes;
   const double limit = std::max(kMinBadShare, kMinBadRatio * usual_share);
-  const double needed = (state.weight <= kProbingWeight ? kMinFailingProbes
-                                                        : kMinProbes) *
-                        (1 << state.relapses);
+  const double needed =
+      (state.weight <= kProbingWeight ? kMinFailingProbes : kMinProbes) *
+      (1 << state.relapses);
   const bool is_bad = probes.Bad() >= kMinFailingProbes / 2 &&
                       probes.Bad() >= limit * probes.requests;
   if (is_bad) {
@@ -435,9 +437,10 @@
   }
   const bool is_forgotten = now - state.last_evidence >= kMaxEvidenceAge;
   if (probes.requests < needed && !is_forgotten) return;
-  SetWeight(now, target,
-            std::min(kFullWeight, percent{state.weight.value * kRecoveryFactor}),
-            probes, usual_share, changes);
+  SetWeight(
+      now, target,
+      std::min(kFullWeight, percent{state.weight.value * kRecoveryFactor}),
+      probes, usual_share, changes);
 }
 
 void target_performance::Admit(
@@ -498,7 +501,8 @@
   std::set<data_centre_name> reporters;
   for (const auto& [key, by_reporter] : totals_) {
     if (key.first != targets.front()->service) continue;
-    for (const auto& [reporter, total] : by_reporter) reporters.insert(reporter);
+    for (const auto& [reporter, total] : by_reporter)
+      reporters.insert(reporter);
   }
   std::map<data_centre_name, comparison> comparisons;
   double usual_share = 0;
--- a/Source/Targets/target_performance.h
+++ b/Source/Targets/target_performance.h
@@ -49,7 +49,7 @@
   double requests = 0;  // Observed, or expected by an even share.
   double slow = 0;
   double failed = 0;
-  // Share of bad outcomes of the median target of the service.
+  // Share of bad outcomes that is usual among the targets of the service.
   double usual_share = 0;
 };
 
@@ -125,9 +125,8 @@
   void Decay();
   void EraseUnknown(const std::vector<evaluated_target>& targets);
   void FollowPublished(instant now, const evaluated_target& target);
-  comparison Compare(
-      const data_centre_name& reporter,
-      const std::vector<const evaluated_target*>& targets) const;
+  comparison Compare(const data_centre_name& reporter,
+                     const std::vector<const evaluated_target*>& targets) const;
   // Whether the observations of several data centres together blame a target.
   static std::optional<candidate> Judge(
       const evaluated_target& target,
