--- a/Source/UnitTests/Control/target_weights_test.cc
+++ b/Source/UnitTests/Control/target_weights_test.cc
@@ -344,7 +344,7 @@
   weighted_fleet fleet(true);
 
   SECTION("lost packets") { fleet.lost_share = 0.1; }
-  SECTION("one slow caller") {
+  SECTION("some callers with slow links") {
     fleet.caller_delay = [n = 0]() mutable {
       return ++n % 10 == 0 ? microseconds(100'000) : microseconds(500);
     };
--- a/Source/UnitTests/Platform/documents_test.cc
+++ b/Source/UnitTests/Platform/documents_test.cc
@@ -177,6 +177,26 @@
   }
 }
 
+TEST_CASE("targets are observed only with the contract for it") {
+  json document = ValidSettings();
+  const auto observes = [&] {
+    const auto parsed = ParseSettings(document.dump());
+    return std::get<fleet_settings>(parsed).observe_targets;
+  };
+  REQUIRE_FALSE(observes());
+  document["contracts"] = json::array();
+  REQUIRE_FALSE(observes());
+  document["contracts"] = {"outcomes", "health"};
+  REQUIRE(observes());
+  for (const json& invalid : {json("health"), json({"health", 7})}) {
+    document["contracts"] = invalid;
+    const auto refused = ParseSettings(document.dump());
+    const auto& errors = std::get<document_errors>(refused);
+    REQUIRE(errors.size() == 1);
+    REQUIRE(errors[0].path == "contracts");
+  }
+}
+
 TEST_CASE("settings of an entry instance are parsed") {
   json entry = ValidSettings();
   entry["serves"] = {"frontend"};
