Targets: count totals down also while there are no bad outcomes

Cause: after a time without bad outcomes the first evaluation discarded the evidence as if the process had been suspended, and the totals had grown without a limit, so a finding took longer the longer all had been well. Change: totals decay with each check, the time between checks shows a suspension, and evaluations are 500 ms apart. Result: TargetWeightsTest and TargetPerformanceTest pass.

--- a/Source/Targets/target_performance.cc
+++ b/Source/Targets/target_performance.cc
@@ -9,13 +9,13 @@
 
 // Time between two evaluations, and the factor by which counts decay with each:
 // they cover about 3 s.
-constexpr milliseconds kEvaluationInterval{1000};
-constexpr double kDecay = 0.7;
-// After a longer time without an evaluation, this process was suspended, and
-// the reports that were queued meanwhile don't belong to one span of time.
-constexpr milliseconds kSuspensionThreshold{3000};
+constexpr milliseconds kEvaluationInterval{500};
+constexpr double kDecay = 0.85;
+// After a longer gap between two checks, the reports that were queued meanwhile
+// don't belong to one span of time.
+constexpr milliseconds kSuspensionThreshold{1000};
 // Evaluations after which the previous set of callers is forgotten.
-constexpr std::uint64_t kCallerSpan = 4;
+constexpr std::uint64_t kCallerSpan = 8;
 // Counts below this value are erased.
 constexpr double kMinCount = 0.05;
 // Maximum number of targets whose outcomes are kept between two evaluations.
@@ -147,9 +147,17 @@
   }
 }
 
-bool target_performance::IsDue(instant now) const {
-  if (evidence_.empty() && reduced_.empty()) return false;
-  return !last_evaluation_ || now - *last_evaluation_ >= kEvaluationInterval;
+bool target_performance::IsDue(instant now) {
+  if (last_check_ && now - *last_check_ > kSuspensionThreshold) {
+    evidence_.clear();
+    totals_.clear();
+  }
+  last_check_ = now;
+  if (now - last_evaluation_ < kEvaluationInterval) return false;
+  if (!evidence_.empty() || !reduced_.empty()) return true;
+  last_evaluation_ = now;
+  Decay();
+  return false;
 }
 
 bool target_performance::IsReduced(const target_id& id) const {
@@ -528,14 +536,7 @@
 std::vector<weight_change> target_performance::Evaluate(
     instant now, const std::vector<evaluated_target>& targets) {
   std::vector<weight_change> changes;
-  const bool was_suspended =
-      last_evaluation_ && now - *last_evaluation_ > kSuspensionThreshold;
   last_evaluation_ = now;
-  if (was_suspended) {
-    evidence_.clear();
-    totals_.clear();
-    return changes;
-  }
   EraseUnknown(targets);
   std::map<service_name, std::vector<const evaluated_target*>> by_service;
   for (const evaluated_target& target : targets) {
--- a/Source/Targets/target_performance.h
+++ b/Source/Targets/target_performance.h
@@ -59,8 +59,9 @@
   // Adds what an entry instance in the data centre has observed.
   void AddReport(const data_centre_name& reporter,
                  const outcome_report& report);
-  // Whether `Evaluate` is due and has something to decide on.
-  bool IsDue(instant now) const;
+  // Whether `Evaluate` is due and has something to decide on. Call it several
+  // times a second: a longer gap means that this process was suspended.
+  bool IsDue(instant now);
   // Compares the targets and returns the changed weights, also those of targets
   // of other control instances. `targets` are all targets of the fleet that
   // haven't ended; those that aren't ready keep their weight.
@@ -151,7 +152,8 @@
   std::map<std::pair<service_name, data_centre_name>, totals_by_reporter>
       totals_;
   std::map<target_id, reduced_target> reduced_;  // Bounded by the targets.
-  std::optional<instant> last_evaluation_;
+  std::optional<instant> last_check_;            // Last call of IsDue.
+  instant last_evaluation_;
   std::uint64_t evaluations_ = 0;
 };
 
--- a/Source/UnitTests/Targets/target_performance_test.cc
+++ b/Source/UnitTests/Targets/target_performance_test.cc
@@ -41,8 +41,10 @@
     Evaluate();
   }
   void Evaluate() {
-    now += seconds(1);
-    performance.Evaluate(now, targets);
+    for (int i = 0; i < 2; ++i) {
+      now += milliseconds(500);
+      if (performance.IsDue(now)) performance.Evaluate(now, targets);
+    }
   }
   percent WeightOf(std::size_t i) const {
     return performance.WeightOf(IdOf(i), targets[i].started_ms);
@@ -69,6 +71,13 @@
       REQUIRE(setup.WeightOf(0) > percent{2});
       REQUIRE(setup.WeightOf(0) < kFullWeight);
     }
+    SECTION("also after a long time in which all were good") {
+      setup.targets[0].started_ms = 2000;
+      for (int i = 0; i < 300; ++i) setup.Second(0, {});
+      REQUIRE(setup.WeightOf(0) == kFullWeight);
+      for (int i = 0; i < 2; ++i) setup.Second(1, kFailing);
+      REQUIRE(setup.WeightOf(0) == percent{2});
+    }
     SECTION("and doesn't recover without outcomes") {
       for (int i = 0; i < 60; ++i) setup.Evaluate();
       REQUIRE(setup.WeightOf(0) == percent{2});
@@ -133,8 +142,7 @@
 TEST_CASE("the weight of a target of another control instance is its own") {
   performance_fixture setup;
   setup.targets[0].published = percent{2};
-  setup.Second(0, {});
-  setup.Evaluate();
+  setup.Second(1, {.requests = 1});
   REQUIRE(setup.WeightOf(0) == percent{2});
   SECTION("also when that one has ended the finding") {
     setup.targets[0].published = kFullWeight;
@@ -167,7 +175,8 @@
   }
   setup.performance.AddReport(kThere, report);
   for (int i = 0; i < 60; ++i) setup.Evaluate();
-  REQUIRE_FALSE(setup.performance.IsDue(setup.now + seconds(10)));
+  setup.now += milliseconds(500);
+  REQUIRE_FALSE(setup.performance.IsDue(setup.now));
 }
 
 }  // namespace
