--- a/Source/Runtime/entry_loop.cc
+++ b/Source/Runtime/entry_loop.cc
@@ -43,7 +43,8 @@
           .seeds = ControlNames(from.seeds),
           .link_capacity = LinkCapacity(from),
           .seed = RandomNumber(),
-          .stop_within = from.stop_within};
+          .stop_within = from.stop_within,
+          .observe_targets = from.observe_targets};
 }
 
 endpoint ToEndpoint(const ipv4_endpoint& from) {
