--- a/Source/Forwarding/caller_shares.cc
+++ b/Source/Forwarding/caller_shares.cc
@@ -11,10 +11,11 @@
 namespace lavendertack {
 namespace {
 
-// Window of the counts. Long enough that an instance sees several openings of
-// a caller with one opening per second, short enough that a caller that has
-// reduced its demand isn't refused for long.
-constexpr milliseconds kCountWindow{4000};
+// Window of the counts. An instance sees only a part of a caller's openings:
+// with one opening per caller in 9 s, callers below their share are refused
+// 0.04 of their openings with this window and 0.05 with 4 s. A longer one would
+// refuse a caller for longer after it has reduced its demand.
+constexpr milliseconds kCountWindow{6000};
 // Longer than the time in which a caller retries twice after resets, shorter
 // than the 1.4 s after which it abandons an attempt without an answer.
 constexpr milliseconds kDecisionPeriod{400};
@@ -23,11 +24,17 @@
 constexpr double kPositionStep = 0.6180339887498949;
 // Callers abandon an attempt after 1.4 s if the reset is lost.
 constexpr milliseconds kRetryWindow{1500};
+// Time from a caller's opening packet to its retransmissions. A retransmission
+// gets the decision of the opening packet, also if the reset was lost.
+constexpr std::array<milliseconds, 3> kRetransmissionDelays{
+    milliseconds(0), milliseconds(200), milliseconds(600)};
 // Sorting the callers takes longer than a decision, so it isn't done more
 // often.
 constexpr milliseconds kUpdateInterval{200};
 // The refusals that are owed are made up for over the window divided by this.
-constexpr double kCorrectionGain = 2;
+// 2 gives refusals of callers below their share; 0.5 takes too long to correct
+// the share while refused callers retry.
+constexpr double kCorrectionGain = 1;
 // Without a decision for this long, no caller counts as above its share.
 constexpr milliseconds kDecisionMemory{1000};
 
@@ -105,31 +112,37 @@
   return std::clamp(share + kCorrectionGain * owed_refusals_ / total, 0.0, 1.0);
 }
 
-bool caller_shares::IsRefused(instant now, ipv4_address caller,
+bool caller_shares::IsRefused(instant now, const flow_packet& packet,
                               double share) const {
   if (share <= 0) return false;
+  const ipv4_address caller = packet.flow.caller.ip;
   const double corrected = Corrected(now, share);
   double refused_part = corrected;
   // Without a fair share, each caller is refused the same part.
-  if (!bound_.empty() && corrected < 1) {
+  if (bound_.total() > 0 && corrected < 1) {
     const double own = counts_.OwnOpenings(now, caller);
-    const double bound = bound_.BoundFor(corrected);
+    // The bound grows and falls with the number of openings.
+    const double growth = counts_.Total(now) / bound_.total();
+    const double bound = bound_.BoundFor(corrected) * growth;
     refused_part = own > bound ? 1 - bound / own : 0;
   }
-  return position_(now, caller) < refused_part;
+  const auto copy = std::min<std::size_t>(packet.retransmission,
+                                          kRetransmissionDelays.size() - 1);
+  const instant opened = now - kRetransmissionDelays[copy];
+  return position_(opened, caller) < refused_part;
 }
 
 bool caller_shares::Refuses(instant now, const flow_packet& packet,
                             double share) {
   const ipv4_address caller = packet.flow.caller.ip;
-  if (packet.retransmission > 0) return IsRefused(now, caller, share);
+  if (packet.retransmission > 0) return IsRefused(now, packet, share);
   counts_.Add(now, caller);
   caller_account& account = *counts_.Find(caller);
   const std::size_t preceding_retries = MatchRetry(now, packet.flow, &account);
   if (share <= 0) return false;
   last_share_ = share;
   last_decision_ = now;
-  const bool refuses = IsRefused(now, caller, share);
+  const bool refuses = IsRefused(now, packet, share);
   const double limit = std::max(1.0, counts_.Total(now)) / kCorrectionGain;
   owed_refusals_ =
       std::clamp(owed_refusals_ + share - (refuses ? 1 : 0), -limit, limit);
--- a/Source/Forwarding/caller_shares.h
+++ b/Source/Forwarding/caller_shares.h
@@ -47,7 +47,8 @@
   // Returns the number of openings per caller above which openings must be
   // refused so that `share` of all are. Takes logarithmic time.
   double BoundFor(double share) const;
-  bool empty() const { return steps_.empty(); }
+  // All openings, including those of unknown callers.
+  double total() const { return steps_.empty() ? 0 : steps_.back().sum; }
 
  private:
   // The callers with at least `openings` openings, together.
@@ -100,8 +101,9 @@
   // Returns how many retries precede this opening; if it is a retry, counts it.
   std::size_t MatchRetry(instant now, const flow_key& flow,
                          caller_account* account);
-  // Whether the position of the caller is in its refused part.
-  bool IsRefused(instant now, ipv4_address caller, double share) const;
+  // Whether the caller's position, at the time of the first copy of the packet,
+  // is in its refused part.
+  bool IsRefused(instant now, const flow_packet& packet, double share) const;
   // The share to ask for so that the refused share is `share` over time.
   double Corrected(instant now, double share) const;
 
