Runtime: metrics and a log line of the refused callers

Operators couldn't see which client accounts are refused. callers_tracked, callers_above_share and caller_retries_total are exposed by service and priority, and callers_refused names the five most refused accounts at most every 5 s. Entry instances pass the wall clock to the decision periods, so that all instances refuse a caller in the same periods.

--- a/Source/Entry/entry_instance.h
+++ b/Source/Entry/entry_instance.h
@@ -4,6 +4,7 @@
 #ifndef LAVENDERTACK_ENTRY_ENTRY_INSTANCE_H_
 #define LAVENDERTACK_ENTRY_ENTRY_INSTANCE_H_
 
+#include <map>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -56,6 +57,11 @@
   // Runs periodic work; returns events for the log.
   std::vector<follower_event> Tick(instant now);
 
+  // Sets the wall clock, as the time since an epoch that all instances share.
+  // See flow_router.
+  void SetWallClock(instant now, milliseconds since_epoch) {
+    router_.set_wall_clock_offset(since_epoch - now.time_since_epoch());
+  }
   // Replaces the seeds by those of the changed settings.
   void SetSeeds(instant now, const std::vector<instance_name>& seeds) {
     follower_.SetSeeds(now, seeds);
@@ -73,6 +79,10 @@
   const entry_settings& settings() const { return settings_; }
   const control_follower& follower() const { return follower_; }
   const flow_router& router() const { return router_; }
+  // Callers' shares; reports on the refused ones take their counts.
+  std::map<refusal_class, caller_shares>& callers() {
+    return router_.callers();
+  }
 
  private:
   // Adds the flows of the target to `lost_flows_` if it is lost or replaced.
--- a/Source/Runtime/entry_loop.cc
+++ b/Source/Runtime/entry_loop.cc
@@ -8,6 +8,7 @@
 #include <zmq.hpp>
 
 #include "Entry/entry_instance.h"
+#include "Runtime/caller_reports.h"
 #include "Runtime/fleet_links.h"
 #include "Runtime/fleet_queries.h"
 #include "Runtime/http_server.h"
@@ -123,7 +124,9 @@
             now, signals_->reload.exchange(false), &log_)) {
       entry_.SetSeeds(now, ControlNames(changed->seeds));
     }
+    entry_.SetWallClock(now, milliseconds(UnixMilliseconds()));
     for (const auto& event : entry_.Tick(now)) LogFollowerEvent(&log_, event);
+    refused_callers_log_.Tick(now, &entry_.callers(), &log_);
     for (const follow_request& request : entry_.Requests(now)) {
       if (!links_.Send(now, request.to, request.message)) {
         entry_.RequestNotSent(request.to);
@@ -273,6 +276,7 @@
   instant next_tick_;
   bool stopping_ = false;
   entry_counts counts_;
+  refused_callers_log refused_callers_log_;
   query_port queries_;
 };
 
--- a/Source/Runtime/fleet_queries.cc
+++ b/Source/Runtime/fleet_queries.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "Common/exposition_writer.h"
+#include "Runtime/caller_reports.h"
 
 namespace lavendertack {
 namespace {
@@ -99,6 +100,7 @@
     out.AddSample(FormatLabel("service", service.value),
                   static_cast<std::uint64_t>(level.value() * 100));
   }
+  ExposeCallers(view.entry.router().callers(), &out);
   out.AddSingleSample("ready", "gauge",
                       "Whether the instance is ready to receive callers.",
                       view.entry.IsReady(view.now) ? 1 : 0);
--- a/Source/UnitTests/Forwarding/refused_callers_test.cc
+++ b/Source/UnitTests/Forwarding/refused_callers_test.cc
@@ -1,5 +1,4 @@
 #include <catch2/catch.hpp>
-#include <memory>
 
 #include "Forwarding/flow_router.h"
 #include "UnitTests/Forwarding/caller_load.h"
@@ -18,19 +17,19 @@
 class overloaded_router {
  public:
   explicit overloaded_router(double refused_share) {
-    state_.has_manifest = true;
-    state_.routes[kUrgentRoute] = {.shares = {{kService, 1}}, .priority = 1};
-    state_.routes[kPatientRoute] = {.shares = {{kService, 1}}, .priority = 2};
-    state_.priorities = PrioritiesOf(state_.routes);
-    state_.demand[kService] = {{{"a"}, 1e6}};
-    state_.targets.Apply(start_, {"10.0.0.1"},
-                         {.id = {"i-1"},
-                          .version = {1000, 1},
-                          .service = kService,
-                          .address = {{0x0a000001}, {8080}},
-                          .data_centre = {"a"},
-                          .slots = 2,
-                          .phase = target_phase::kReady});
+    state.has_manifest = true;
+    state.routes[kUrgentRoute] = {.shares = {{kService, 1}}, .priority = 1};
+    state.routes[kPatientRoute] = {.shares = {{kService, 1}}, .priority = 2};
+    state.priorities = PrioritiesOf(state.routes);
+    state.demand[kService] = {{{"a"}, 1e6}};
+    state.targets.Apply(start_, {"10.0.0.1"},
+                        {.id = {"i-1"},
+                         .version = {1000, 1},
+                         .service = kService,
+                         .address = {{0x0a000001}, {8080}},
+                         .data_centre = {"a"},
+                         .slots = 2,
+                         .phase = target_phase::kReady});
     router.set_refusal_policy(
         [refused_share](double, std::uint32_t priority, const auto&) {
           return priority == 2 ? refused_share : 0;
@@ -61,10 +60,10 @@
   }
 
   instant start_{seconds(99)};
-  routing_state state_;
 
  public:
-  flow_router router{&state_, {"a"}, 1};
+  routing_state state;
+  flow_router router{&state, {"a"}, 1};
 };
 
 // Replays one caller that asks for 20 times as much as each of 100 others. With
@@ -102,5 +101,73 @@
   }
 }
 
+// Retries mostly arrive at another instance. If it decided on its own, refused
+// callers would get in there.
+TEST_CASE("instances refuse a caller in the same periods") {
+  constexpr milliseconds kStartDifference{123'456};
+  overloaded_router first(0.5);
+  overloaded_router second(0.5);
+  const auto agreeing_decisions = [&] {
+    std::size_t same = 0;
+    caller_load load(
+        kPatientRoute,
+        [&](instant now, const auto& packet) {
+          const bool refused = first.Refuses(now, packet);
+          same +=
+              second.Refuses(now + kStartDifference, packet) == refused ? 1 : 0;
+          return false;
+        },
+        [&](instant now) {
+          first.router.Tick(now);
+          second.router.Tick(now + kStartDifference);
+        });
+    load.Add(kFirstCaller, kCallers, 1);
+    const auto counts = load.Run(seconds(20));
+    const load_counts all = SumOf(counts, 0, 0xffffffff);
+    return 1.0 * static_cast<double>(same) / all.openings;
+  };
+
+  SECTION("with the same wall clock, though they started at different times") {
+    second.router.set_wall_clock_offset(-kStartDifference);
+    REQUIRE(agreeing_decisions() > 0.95);
+  }
+  SECTION("not with different wall clocks; refusals go on") {
+    REQUIRE(agreeing_decisions() < 0.85);
+  }
+}
+
+TEST_CASE("nothing changes without a refused share") {
+  overloaded_router overloaded(0);
+  caller_load load(
+      kPatientRoute,
+      [&](instant now, const auto& packet) {
+        return overloaded.Refuses(now, packet);
+      },
+      [&](instant now) { overloaded.router.Tick(now); });
+  load.Add(kHeavyCaller, 1, 100);
+  const auto counts = load.Run(seconds(10));
+  REQUIRE(counts.at({kHeavyCaller}).refused == 0);
+}
+
+TEST_CASE("callers are tracked only for routes that may be refused") {
+  overloaded_router overloaded(0);
+  const instant now{seconds(100)};
+  const auto open = [&](const ipv4_endpoint& route) {
+    overloaded.Refuses(
+        now, {.flow = {{{kFirstCaller}, {1025}}, route}, .opens = true});
+  };
+  open(kUrgentRoute);
+  REQUIRE(overloaded.router.callers().empty());
+  open(kPatientRoute);
+  REQUIRE(overloaded.router.callers().size() == 1);
+
+  SECTION("until the route is removed") {
+    overloaded.state.routes.erase(kPatientRoute);
+    overloaded.state.priorities = PrioritiesOf(overloaded.state.routes);
+    overloaded.router.Tick(now);
+    REQUIRE(overloaded.router.callers().empty());
+  }
+}
+
 }  // namespace
 }  // namespace lavendertack
