Forwarding: refuse large accounts by connection; correct the refused share faster

An account with over a tenth of the openings made the load swing with its periods, and openings of new accounts weren't refused until their counts had grown. First attempts are now refused by the measured number of retries, and a shortfall of refusals is made up for by all callers.

--- a/Source/Forwarding/caller_shares.cc
+++ b/Source/Forwarding/caller_shares.cc
@@ -28,16 +28,46 @@
 // gets the decision of the opening packet, also if the reset was lost.
 constexpr std::array<milliseconds, 3> kRetransmissionDelays{
     milliseconds(0), milliseconds(200), milliseconds(600)};
+// An account with a larger part of all openings is refused by connection
+// instead of by period: refusing and accepting all of it in turn would fill the
+// targets' queues in one period and leave slots idle in the next. With all
+// callers behind one address, the model then served 0.94 instead of 0.99 of the
+// requests of the highest priority in time.
+constexpr double kMaxPeriodicPart = 0.1;
 // Sorting the callers takes longer than a decision, so it isn't done more
 // often.
 constexpr milliseconds kUpdateInterval{200};
-// The refusals that are owed are made up for over the window divided by this.
-// With 2, callers below their share are refused 0.05 instead of 0.04 of their
-// openings; with 0.5, the refused share is up to 0.025 too high.
-constexpr double kCorrectionGain = 1;
+// Window of the retries per refused first attempt.
+constexpr milliseconds kRetryRateWindow{2000};
+// The refusals that are owed are made up for over the window of the counts, by
+// at most this change of the share. A greater one would let all openings pass
+// for a while after too many refusals, when the refusal level has already been
+// corrected.
+constexpr double kMaxCorrection = 0.1;
+// Window in which the refusals are compared with the required ones.
+constexpr milliseconds kShortfallWindow{500};
+// A greater shortfall, in standard deviations of the number of refusals, isn't
+// due to chance.
+constexpr double kMaxShortfall = 2;
 // Without a decision for this long, no caller counts as above its share.
 constexpr milliseconds kDecisionMemory{1000};
 
+// Maps a hash to [0, 1).
+double ToPosition(std::uint64_t hash) {
+  return std::ldexp(static_cast<double>(hash >> 11U), -53);
+}
+
+// Position of a single connection, the same for its retransmissions.
+double FlowPosition(const flow_key& flow) {
+  std::array<std::uint64_t, 2> values{};
+  values[0] =
+      std::uint64_t{flow.caller.ip.value} << 16 | flow.caller.port.value;
+  values[1] = std::uint64_t{flow.route.ip.value} << 16 | flow.route.port.value;
+  std::array<char, sizeof(values)> bytes{};
+  std::memcpy(bytes.data(), values.data(), bytes.size());
+  return ToPosition(StableHash({bytes.data(), bytes.size()}));
+}
+
 }  // namespace
 
 double RefusalPosition(microseconds time, const refusal_class& of,
@@ -51,7 +81,7 @@
   const microseconds offset{static_cast<microseconds::rep>(
       hash % static_cast<std::uint64_t>(period.count()))};
   const auto number = static_cast<double>((time + offset) / period);
-  const double start = std::ldexp(static_cast<double>(hash >> 11U), -53);
+  const double start = ToPosition(hash);
   const double position = start + std::fmod(number * kPositionStep, 1.0);
   return position - std::floor(position);
 }
@@ -88,7 +118,12 @@
 }
 
 caller_shares::caller_shares(position_hook position, std::size_t max_callers)
-    : counts_(max_callers, kCountWindow), position_(std::move(position)) {}
+    : counts_(max_callers, kCountWindow),
+      recent_retries_(kRetryRateWindow),
+      refused_requests_(kRetryRateWindow),
+      recent_required_(kShortfallWindow),
+      recent_refused_(kShortfallWindow),
+      position_(std::move(position)) {}
 
 std::size_t caller_shares::MatchRetry(instant now, const flow_key& flow,
                                       caller_account* account) {
@@ -101,6 +136,7 @@
     if (awaiting == 0) continue;
     --awaiting;
     ++retries_;
+    recent_retries_.Add(now, 1);
     return retry;
   }
   return 0;
@@ -109,23 +145,45 @@
 double caller_shares::Corrected(instant now, double share) const {
   if (share >= 1) return 1;
   const double total = std::max(1.0, counts_.Total(now));
-  return std::clamp(share + kCorrectionGain * owed_refusals_ / total, 0.0, 1.0);
+  return std::clamp(share + owed_refusals_ / total, 0.0, 1.0);
+}
+
+double caller_shares::FirstAttemptPart(instant now,
+                                       double openings_part) const {
+  const double refused = refused_requests_.ValueAt(now);
+  const double retries = refused > 0
+                             ? std::min(recent_retries_.ValueAt(now) / refused,
+                                        static_cast<double>(kMaxRetries))
+                             : 0;
+  return openings_part / (1 + retries * (1 - openings_part));
+}
+
+bool caller_shares::FallsShort(instant now, double share) const {
+  const double required = recent_required_.ValueAt(now);
+  const double tolerance =
+      kMaxShortfall * std::sqrt(required * std::max(0.0, 1 - share));
+  return required - recent_refused_.ValueAt(now) > tolerance;
 }
 
 bool caller_shares::IsRefused(instant now, const flow_packet& packet,
                               double share) const {
   if (share <= 0) return false;
   const ipv4_address caller = packet.flow.caller.ip;
+  const double total = counts_.Total(now);
+  const double own = counts_.OwnOpenings(now, caller);
   const double corrected = Corrected(now, share);
   double refused_part = corrected;
   // Without a fair share, each caller is refused the same part.
   if (bound_.total() > 0 && corrected < 1) {
-    const double own = counts_.OwnOpenings(now, caller);
     // The bound grows and falls with the number of openings.
-    const double growth = counts_.Total(now) / bound_.total();
-    const double bound = bound_.BoundFor(corrected) * growth;
+    const double bound = bound_.BoundFor(corrected) * total / bound_.total();
     refused_part = own > bound ? 1 - bound / own : 0;
   }
+  if (FallsShort(now, share)) refused_part = std::max(refused_part, share);
+  if (own > kMaxPeriodicPart * total) {
+    return FlowPosition(packet.flow) < refused_part;
+  }
+  refused_part = FirstAttemptPart(now, refused_part);
   const auto copy = std::min<std::size_t>(packet.retransmission,
                                           kRetransmissionDelays.size() - 1);
   const instant opened = now - kRetransmissionDelays[copy];
@@ -143,11 +201,14 @@
   last_share_ = share;
   last_decision_ = now;
   const bool refuses = IsRefused(now, packet, share);
-  const double limit = std::max(1.0, counts_.Total(now)) / kCorrectionGain;
+  const double limit = std::max(1.0, counts_.Total(now)) * kMaxCorrection;
   owed_refusals_ =
       std::clamp(owed_refusals_ + share - (refuses ? 1 : 0), -limit, limit);
+  recent_required_.Add(now, share);
   if (!refuses) return false;
+  recent_refused_.Add(now, 1);
   ++account.refused;
+  if (preceding_retries == 0) refused_requests_.Add(now, 1);
   if (account.refused_route != packet.flow.route) account.awaiting_retry = {};
   account.refused_route = packet.flow.route;
   account.last_refused = now;
@@ -178,6 +239,8 @@
 
 void caller_shares::DiscardDecisions() {
   owed_refusals_ = 0;
+  recent_required_ = decayed_count(kShortfallWindow);
+  recent_refused_ = decayed_count(kShortfallWindow);
   last_share_ = 0;
   above_share_ = 0;
 }
--- a/Source/Forwarding/caller_shares.h
+++ b/Source/Forwarding/caller_shares.h
@@ -19,6 +19,7 @@
 #include "Common/ipv4.h"
 #include "Common/strong_type.h"
 #include "Forwarding/caller_counts.h"
+#include "Forwarding/decayed_count.h"
 #include "Forwarding/packet.h"
 
 namespace lavendertack {
@@ -101,14 +102,24 @@
   // Returns how many retries precede this opening; if it is a retry, counts it.
   std::size_t MatchRetry(instant now, const flow_key& flow,
                          caller_account* account);
-  // Whether the caller's position, at the time of the first copy of the packet,
-  // is in its refused part.
+  // Whether the packet is in the refused part of its caller.
   bool IsRefused(instant now, const flow_packet& packet, double share) const;
   // The share to ask for so that the refused share is `share` over time.
   double Corrected(instant now, double share) const;
+  // Whether clearly fewer openings than required were refused recently. This
+  // happens when the openings come from new callers, whose counts are still
+  // low.
+  bool FallsShort(instant now, double share) const;
+  // The part of the first attempts to refuse so that `openings_part` of all
+  // openings are refused, if the retries of these are refused as well.
+  double FirstAttemptPart(instant now, double openings_part) const;
 
   caller_counts counts_;
   fair_share_bound bound_;
+  decayed_count recent_retries_;
+  decayed_count refused_requests_;  // At their first attempt.
+  decayed_count recent_required_;   // Refusals.
+  decayed_count recent_refused_;    // Openings.
   position_hook position_;
   // Openings that should have been refused, less those that were.
   double owed_refusals_ = 0;
