Forwarding: a new connection isn't reset for a lost target of an earlier one

Cause: the cache of recent flows kept the last packet of a closed connection. When its target was lost, a new connection from the same port got the reset. Change: an opening packet removes the entry of its flow. Measured: FlowRouterTest failed before the change (1 of 85 assertions), passes after it.

--- a/Source/Forwarding/flow_router.cc
+++ b/Source/Forwarding/flow_router.cc
@@ -96,6 +96,9 @@
   if (found_route == state_->routes.end()) {
     return reset_caller{forward_reason::kNoRoute};
   }
+  // An earlier connection from the same port has ended. If its target is lost,
+  // the new connection must not be reset.
+  flows_.Remove(packet.flow);
   target_tag unanswered;
   service_name service;
   if (auto previous = attempts_.Remove(packet.flow)) {
--- a/Source/UnitTests/Forwarding/flow_router_test.cc
+++ b/Source/UnitTests/Forwarding/flow_router_test.cc
@@ -261,6 +261,14 @@
     setup.AddTarget("i-1", "a", target_phase::kSilent);
     REQUIRE(setup.ReasonOf(request) == forward_reason::kFollows);
   }
+  SECTION("a new connection from the same port isn't reset") {
+    setup.AddTarget("i-2", "a");
+    setup.OpenFlow(1);
+    setup.LoseTarget(target);
+    REQUIRE(
+        setup.router.TakeLostFlows(setup.now, *setup.state.targets.Find(target))
+            .empty());
+  }
   SECTION("a target that was replaced at its address loses them at once") {
     setup.ReplaceTarget(target, "i-2");
     REQUIRE(
