Node, Traffic: an answer has one request, and each request at a stop an answer

Cause: the shards of one instance started with the same seed and numbered their attempts alike, so an answer over a connection shared by targets of two services ended a request of each. At the end of the time for a graceful stop, and of a hand-over, requests that still ran were discarded without an answer. Change: the seed depends on the service; exit_imminent and the release of a service end all live requests (not run if never sent, otherwise outcome unknown); the loop flushes the answers before it exits.

--- a/Source/Node/node.cc
+++ b/Source/Node/node.cc
@@ -350,6 +350,12 @@
   }
 }
 
+void node::Handle(const exit_imminent&) {
+  for (const service_name& name : ShardNames()) {
+    RunShard(name, shard_end_requests{refusal_reason::kDraining});
+  }
+}
+
 bool node::CanExit() const {
   if (!leaving_) return false;
   const roster& own = rosters_.Find(settings_.data_centre);
@@ -411,6 +417,9 @@
     } else if (const auto* released =
                    std::get_if<ownership_released>(&effect)) {
       Log("placement", "service " + released->service.value + " handed over");
+      // Requests may still run if kMaxDrainTime has passed.
+      RunShard(released->service,
+               shard_end_requests{refusal_reason::kOwnerChanged});
       shards_.erase(released->service);
     }
   }
@@ -774,13 +783,17 @@
 
 void node::StartShard(const service_name& service, owner_epoch epoch) {
   Log("placement", "taking charge of service " + service.value);
+  // Depends on the service: shards with the same seed number their attempts
+  // alike, and an answer over a connection that targets of two services share
+  // would match an attempt of each.
+  const std::uint64_t seed =
+      StableHash(service.value, settings_.seed + epoch.value);
   const bool inserted =
       shards_
-          .emplace(service,
-                   service_shard({.service = service,
-                                  .data_centre = settings_.data_centre,
-                                  .epoch = epoch,
-                                  .seed = settings_.seed + epoch.value}))
+          .emplace(service, service_shard({.service = service,
+                                           .data_centre = settings_.data_centre,
+                                           .epoch = epoch,
+                                           .seed = seed}))
           .second;
   CHECK(inserted) << "the service already has a shard";
 }
--- a/Source/Node/node.h
+++ b/Source/Node/node.h
@@ -69,6 +69,9 @@
 // The instance is shutting down: hand its services over to other instances
 // first.
 struct leave_requested {};
+// The process exits after this event. Requests that are still in progress, such
+// as at the end of the time for a graceful stop, get their final answers now.
+struct exit_imminent {};
 // Occurs at a regular interval and drives all timeouts.
 struct node_tick {};
 using node_event =
@@ -76,7 +79,7 @@
                  target_answer_received, target_disconnected,
                  peer_message_received, ticket_submitted,
                  replica_change_submitted, storage_failed, leave_requested,
-                 node_tick>;
+                 exit_imminent, node_tick>;
 
 // Effects, in addition to those of the components.
 struct send_peer_message {
@@ -147,6 +150,7 @@
   void Handle(const peer_message_received& event);
   void Handle(const ticket_submitted& event);
   void Handle(const leave_requested& event);
+  void Handle(const exit_imminent& event);
   void Handle(const replica_change_submitted& event);
   void Handle(const storage_failed& event);
   void Handle(const node_tick& event);
--- a/Source/Runtime/instance_loop.cc
+++ b/Source/Runtime/instance_loop.cc
@@ -129,6 +129,8 @@
       }
       callers_.Flush();
     }
+    Dispatch(exit_imminent{});
+    callers_.Flush();
     AnswerPendingRequests();
     LOG(INFO) << "instance: " << settings_.instance << " stopped";
   }
--- a/Source/Traffic/service_shard.cc
+++ b/Source/Traffic/service_shard.cc
@@ -29,6 +29,8 @@
   } else if (const auto* lost =
                  std::get_if<shard_target_disconnected>(&event)) {
     HandleDisconnect(lost->connection);
+  } else if (const auto* end = std::get_if<shard_end_requests>(&event)) {
+    EndAllRequests(end->reason);
   } else if (std::holds_alternative<shard_stop_admitting>(event)) {
     admitting_ = false;
     for (auto& [name, target] : targets_.targets()) {
--- a/Source/Traffic/service_shard.h
+++ b/Source/Traffic/service_shard.h
@@ -154,6 +154,7 @@
   // Answers and log lines.
   request_ref Find(const request_key& key);
   void EndRequest(const request_ref& request, outcome result);
+  void EndAllRequests(refusal_reason reason);
   caller_answer BuildAnswer(
       const request_ref& request,
       const std::optional<flow_token>& caller_token) const;
--- a/Source/Traffic/shard_answers.cc
+++ b/Source/Traffic/shard_answers.cc
@@ -48,6 +48,22 @@
   flows_.RecordEnd(request.flow, request.number, now_);
 }
 
+void service_shard::EndAllRequests(refusal_reason reason) {
+  admitting_ = false;
+  for (auto& [name, target] : targets_.targets()) RefuseQueue(&target, reason);
+  std::vector<attempt_id> ids;
+  for (const auto& [id, attempt] : attempts_) {
+    if (!attempt.detached) ids.push_back(id);
+  }
+  std::sort(ids.begin(), ids.end());
+  for (attempt_id id : ids) {
+    const auto attempt = attempts_.find(id);
+    const request_ref request = Find(attempt->second.key);
+    DetachAttempt(attempt);
+    EndRequest(request, {answer_kind::kOutcomeUnknown, reason, ""});
+  }
+}
+
 caller_answer service_shard::BuildAnswer(
     const request_ref& request,
     const std::optional<flow_token>& caller_token) const {
--- a/Source/Traffic/shard_events.h
+++ b/Source/Traffic/shard_events.h
@@ -36,12 +36,17 @@
 // Event: the service moves to another owner as planned. From now on no request
 // is sent; running requests are completed.
 struct shard_stop_admitting {};
+// Event: the shard is discarded after this event. Every live request ends now:
+// one that was never sent as not run, the others with an unknown outcome.
+struct shard_end_requests {
+  refusal_reason reason = refusal_reason::kDraining;
+};
 // Event: periodic timer, every 10 ms.
 struct shard_tick {};
 using shard_event =
     std::variant<shard_packet_received, shard_announcement_received,
                  shard_answer_received, shard_target_disconnected,
-                 shard_stop_admitting, shard_tick>;
+                 shard_stop_admitting, shard_end_requests, shard_tick>;
 
 // Effect: send an answer to a caller.
 struct send_answer {
--- a/Source/UnitTests/Ownership/leave_test.cc
+++ b/Source/UnitTests/Ownership/leave_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <memory>
+#include <vector>
 
 #include "Node/node.h"
 
@@ -37,6 +38,9 @@
   // Passes an event to a node and delivers the messages that it sends.
   void HandleEvent(const instance_name& name, const node_event& event) {
     for (const node_effect& effect : nodes_.at(name)->Reduce(now_, event)) {
+      if (const auto* answer = std::get_if<send_answer>(&effect)) {
+        answers.push_back(answer->answer);
+      }
       const auto* sent = std::get_if<send_peer_message>(&effect);
       if (sent != nullptr) {
         HandleEvent(sent->to, peer_message_received{sent->message});
@@ -57,6 +61,8 @@
     return *nodes_.at({name});
   }
 
+  std::vector<caller_answer> answers;
+
  private:
   static constexpr milliseconds kStep{20};
   std::map<instance_name, std::unique_ptr<node>> nodes_;
@@ -92,6 +98,43 @@
       REQUIRE(cluster.GetNode("a").CanExit());
     }
   }
+
+  // The instance used to discard such a request without an answer.
+  SECTION("a request that outlasts the hand-over gets an answer") {
+    const service_name service = cluster.GetNode("b").shards().begin()->first;
+    const auto announce = [&] {
+      cluster.HandleEvent(
+          {"b"}, target_announcement_received{{"target"},
+                                              {.target = {"t"},
+                                               .service = service,
+                                               .boot = {1},
+                                               .state = target_state::kReady,
+                                               .slots = 2,
+                                               .connections = 10}});
+    };
+    announce();
+    cluster.RunFor(seconds(1));
+    caller_packet packet{.flow = {1},
+                         .service = service,
+                         .token = std::nullopt,
+                         .body = open_flow{}};
+    cluster.HandleEvent({"b"}, caller_packet_received{{"10.0.0.9:9"}, packet});
+    REQUIRE(cluster.answers.size() == 1);
+    REQUIRE(cluster.answers.front().kind == answer_kind::kOpened);
+    packet.token = cluster.answers.front().token;
+    packet.body = run_request{{1}, {"hold"}, false, seconds(20), "x"};
+    cluster.HandleEvent({"b"}, caller_packet_received{{"10.0.0.9:9"}, packet});
+    cluster.answers.clear();
+    cluster.HandleEvent({"b"}, leave_requested{});
+    for (int i = 0; i < 25; ++i) {
+      cluster.RunFor(milliseconds(200));
+      announce();
+    }
+    REQUIRE(cluster.GetNode("b").CanExit());
+    REQUIRE(cluster.answers.size() == 1);
+    REQUIRE(cluster.answers.front().kind == answer_kind::kOutcomeUnknown);
+    REQUIRE(cluster.answers.front().reason == refusal_reason::kOwnerChanged);
+  }
 }
 
 }  // namespace
--- a/Source/UnitTests/Traffic/service_shard_test.cc
+++ b/Source/UnitTests/Traffic/service_shard_test.cc
@@ -406,6 +406,41 @@
   }
 }
 
+// A caller may open a flow with the id of one that it has closed. The target's
+// answer to a request of the closed flow, or a copy of it, arrives afterwards.
+TEST_CASE("a late answer doesn't reach a new flow with the same id") {
+  shard_driver driver;
+  driver.Announce("a");
+  driver.OpenFlow(1);
+  driver.WarmUpTarget(1);
+  driver.SendRequest(1, 1);
+  driver.AdvanceTime(milliseconds(1000), {"a"});
+  RequireAnswer(driver, answer_kind::kOutcomeUnknown,
+                refusal_reason::kDeadlinePassed);
+  driver.SendPacket(1, close_flow{});
+  REQUIRE(driver.shard.flow_count() == 0);
+  driver.OpenFlow(1);
+  driver.SendRequest(1, 1);
+  REQUIRE(driver.runs.size() == 2);
+  driver.answers.clear();
+
+  SECTION("while its request is running") {
+    driver.CompleteRequest(driver.runs[0], run_status::kDone, "late");
+    driver.CompleteRequest(driver.runs[0], run_status::kDone, "late");
+    REQUIRE(driver.answers.empty());
+    driver.CompleteRequest(driver.runs[1], run_status::kDone, "own");
+    REQUIRE(driver.answers.size() == 1);
+    REQUIRE(driver.answers.front().body == "own");
+  }
+  SECTION("while the outcome of its request is unknown") {
+    driver.AdvanceTime(milliseconds(1000), {"a"});
+    driver.CompleteRequest(driver.runs[0], run_status::kDone, "late");
+    driver.SendRequest(1, 1);
+    RequireAnswer(driver, answer_kind::kOutcomeUnknown,
+                  refusal_reason::kDeadlinePassed);
+  }
+}
+
 TEST_CASE("repeatable requests are retried on other targets within a budget") {
   shard_driver driver;
   driver.Announce("a");
