Entry: no new flows on state from before a pause of the process

Cause: a resumed process reads the waiting packets before the control instances' updates, so it opened flows at targets and data centres that were withdrawn meanwhile. Change: after a gap of more than 1 s between ticks, opening packets are held until a control instance with a majority has answered a new request, at most 300 ms. Packets of open flows are forwarded as before.

--- a/Source/Entry/entry_instance.cc
+++ b/Source/Entry/entry_instance.cc
@@ -23,6 +23,13 @@
 // Shortest time between two reports of unanswered packets to the control
 // instances.
 constexpr milliseconds kUnansweredReportInterval{150};
+// A longer gap between two ticks means that the process was suspended, long
+// enough to miss the drain of a target or the order to close a data centre.
+constexpr milliseconds kSuspensionThreshold{1000};
+// Longest wait of opening packets for an update after a suspension. Control
+// instances answer within a few milliseconds if they are reachable; if none is,
+// the instance continues with the state that it has.
+constexpr milliseconds kMaxConfirmationWait{300};
 // Limits of the held packets. Callers abandon an attempt to connect after 1.4 s
 // and retransmit other packets after at most 1.6 s.
 constexpr held_packet_limits kHeldPacketLimits{.packets = 512,
@@ -45,6 +52,7 @@
 
 forward_decision entry_instance::Route(instant now, const flow_packet& packet) {
   last_packet_at_ = now;
+  DetectSuspension(now);
   if (auto reason = ReasonToHold(now, packet)) return hold_packet{*reason};
   forward_decision decision = router_.Route(now, packet);
   // A control instance that lost its disk learns its targets from their next
@@ -57,10 +65,22 @@
   return decision;
 }
 
+void entry_instance::DetectSuspension(instant now) {
+  if (!last_tick_at_ || now - *last_tick_at_ <= kSuspensionThreshold) return;
+  last_tick_at_ = now;
+  resumed_at_ = now;
+  asked_since_resumed_ = false;
+}
+
+bool entry_instance::IsUnconfirmed(instant now) const {
+  return resumed_at_ && now - *resumed_at_ < kMaxConfirmationWait;
+}
+
 std::optional<forward_reason> entry_instance::ReasonToHold(
     instant now, const flow_packet& packet) const {
   const routing_state& state = follower_.state();
   if (!state.has_manifest) return forward_reason::kNotYetCurrent;
+  if (packet.opens && IsUnconfirmed(now)) return forward_reason::kNotYetCurrent;
   if (follower_.IsSynced(now)) return std::nullopt;
   if (packet.opens) {
     if (follower_.IsSynced(now, kMaxOpeningWait)) return std::nullopt;
@@ -73,6 +93,9 @@
 std::vector<follower_event> entry_instance::Receive(
     instant now, const wire::fleet_message& message) {
   if (!message.has_update()) return {};
+  DetectSuspension(now);
+  // Updates that were sent before the request may be older than the pause.
+  if (asked_since_resumed_ && message.update().current()) resumed_at_.reset();
   auto events = follower_.Apply(now, {message.from()}, message.update());
   for (const follower_event& event : events) {
     const auto* change = std::get_if<target_change>(&event);
@@ -97,10 +120,15 @@
     last_unanswered_report_ = now;
     unanswered = router_.unanswered().TakeReport(now);
   }
-  return follower_.Requests(now, router_.demand().Rates(now), unanswered);
+  auto requests =
+      follower_.Requests(now, router_.demand().Rates(now), unanswered);
+  if (!requests.empty()) asked_since_resumed_ = true;
+  return requests;
 }
 
 std::vector<follower_event> entry_instance::Tick(instant now) {
+  DetectSuspension(now);
+  last_tick_at_ = now;
   router_.Tick(now);
   return follower_.Tick(now);
 }
--- a/Source/Entry/entry_instance.h
+++ b/Source/Entry/entry_instance.h
@@ -77,6 +77,11 @@
  private:
   // Adds the flows of the target to `lost_flows_` if it is lost or replaced.
   void CollectLostFlows(instant now, const target_id& id);
+  // Notes a suspension of the process until `now`, if there was one.
+  void DetectSuspension(instant now);
+  // Whether the process was suspended and no control instance has confirmed the
+  // state since.
+  bool IsUnconfirmed(instant now) const;
   // Why the packet can't be decided on before more of the state is known;
   // nullopt if it can.
   std::optional<forward_reason> ReasonToHold(instant now,
@@ -91,6 +96,11 @@
   instant last_unanswered_report_;
   std::optional<instant> stop_requested_at_;
   instant last_packet_at_;
+  std::optional<instant> last_tick_at_;
+  // End of the last suspension; empty once the state is confirmed.
+  std::optional<instant> resumed_at_;
+  // Control instances were asked for updates since `resumed_at_`.
+  bool asked_since_resumed_ = false;
 };
 
 }  // namespace lavendertack
--- a/Source/UnitTests/Entry/entry_instance_test.cc
+++ b/Source/UnitTests/Entry/entry_instance_test.cc
@@ -6,6 +6,7 @@
 namespace {
 
 const instance_name kControlInstance{"10.0.0.1"};
+const data_centre_name kDataCentre{"a"};
 const ipv4_endpoint kRouteAddress{{0xc6120001}, {443}};
 
 // An update with one route and one ready target.
@@ -106,6 +107,67 @@
   }
 }
 
+// A resumed process reads the packets that were waiting before it hears of the
+// orders that were given during the pause.
+TEST_CASE("an instance that was paused opens no flow on outdated state") {
+  entry_instance entry({.self = {"10.1.0.1"},
+                        .data_centre = {"a"},
+                        .seeds = {kControlInstance},
+                        .seed = 1,
+                        .stop_within = milliseconds(6000)});
+  instant now{seconds(100)};
+  entry.Receive(now, MakeUpdate(kControlInstance.value));
+  for (int i = 0; i < 10; ++i) {
+    now += milliseconds(50);
+    entry.Tick(now);
+    entry.Requests(now);
+  }
+  const auto is_forwarded = [&](const flow_packet& packet) {
+    return std::holds_alternative<forward_to_target>(entry.Route(now, packet));
+  };
+  const auto is_held = [&](const flow_packet& packet) {
+    return std::holds_alternative<hold_packet>(entry.Route(now, packet));
+  };
+  wire::fleet_message closed = MakeUpdate(kControlInstance.value);
+  closed.mutable_update()->add_closed_data_centres(kDataCentre.value);
+  REQUIRE(is_forwarded(OpeningPacket(1)));
+  now += seconds(5);
+  REQUIRE(is_held(OpeningPacket(2)));
+  REQUIRE(is_forwarded(FollowingPacket("i-1")));
+
+  SECTION("until a control instance answers, here that it is closed") {
+    entry.Tick(now);
+    REQUIRE(entry.Requests(now).size() == 1);
+    REQUIRE(is_held(OpeningPacket(2)));
+    entry.Receive(now, closed);
+    const forward_decision decision = entry.Route(now, OpeningPacket(2));
+    REQUIRE(std::get<reset_caller>(decision).reason ==
+            forward_reason::kNoTarget);
+  }
+  SECTION("an update that was sent before the end of the pause isn't enough") {
+    entry.Receive(now, MakeUpdate(kControlInstance.value));
+    REQUIRE(is_held(OpeningPacket(2)));
+  }
+  SECTION("nor one of a control instance without a majority") {
+    entry.Tick(now);
+    entry.Requests(now);
+    wire::fleet_message update = MakeUpdate(kControlInstance.value);
+    update.mutable_update()->set_current(false);
+    entry.Receive(now, update);
+    REQUIRE(is_held(OpeningPacket(2)));
+  }
+  SECTION("for a limited time if none answers") {
+    for (int i = 0; i < 5; ++i) {
+      now += milliseconds(50);
+      entry.Tick(now);
+      entry.Requests(now);
+      REQUIRE(is_held(OpeningPacket(2)));
+    }
+    now += milliseconds(50);
+    REQUIRE(is_forwarded(OpeningPacket(2)));
+  }
+}
+
 TEST_CASE("an entry instance forwards packets from first update to exit") {
   entry_instance entry({.self = {"10.1.0.1"},
                         .data_centre = {"a"},
