Traffic: running requests aren't given up after a pause of the owner

Cause: the first tick after a pause of more than 3 s counted all targets as lost, before the waiting announcements were read; their requests got an unknown outcome. Change: the time of a suspension doesn't count as silence of the targets. Measured: ServiceShardTest failed before the change (1 of 251 assertions), passes after it.

--- a/Source/Traffic/shard_targets.cc
+++ b/Source/Traffic/shard_targets.cc
@@ -272,13 +272,15 @@
 }
 
 void service_shard::DetectSuspension() {
-  const bool was_suspended =
-      last_event_ && now_ - *last_event_ > kSuspensionThreshold;
+  const microseconds gap = last_event_ ? now_ - *last_event_ : microseconds(0);
   last_event_ = now_;
-  if (!was_suspended) return;
+  if (gap <= kSuspensionThreshold) return;
   LogDecision("process was suspended, new flows wait for announcements");
   for (auto& [name, target] : targets_.targets()) {
     target.unconfirmed = true;
+    // No announcement could arrive in this time, so it doesn't show that the
+    // target is lost, and its running requests aren't given up.
+    target.last_announced += gap;
     targets_.Reindex(&target);
   }
 }
--- a/Source/UnitTests/Traffic/service_shard_test.cc
+++ b/Source/UnitTests/Traffic/service_shard_test.cc
@@ -76,6 +76,30 @@
   }
 }
 
+// A suspended instance receives no announcements. It used to give up the
+// requests of all targets when it resumed.
+TEST_CASE("an owner resumed after suspension keeps running requests") {
+  shard_driver driver;
+  driver.Announce("a");
+  driver.OpenFlow(1);
+  driver.SendRequest(1, 1, "hold", false, milliseconds(20'000));
+  REQUIRE(driver.runs.size() == 1);
+  driver.answers.clear();
+  driver.now += seconds(4);
+  driver.Reduce(shard_tick{});
+  REQUIRE(driver.answers.empty());
+
+  SECTION("and delivers their answers") {
+    driver.CompleteRequest(driver.runs[0]);
+    RequireAnswer(driver, answer_kind::kServed);
+  }
+  SECTION("unless the target stays silent afterwards") {
+    driver.AdvanceTime(kTargetTimeout + milliseconds(500));
+    RequireAnswer(driver, answer_kind::kOutcomeUnknown,
+                  refusal_reason::kTargetLost);
+  }
+}
+
 TEST_CASE("a new owner doesn't use slots still busy for an earlier owner") {
   shard_driver driver;
   const auto announce = [&](std::uint32_t busy) {
