Control, Following: targets neither come back nor vanish by a restart or pause

Cause: targets were saved every 3 s, so a killed control instance restored a target as ready that had left, also minutes later, when the others had erased it. A paused control instance marked all its targets as silent when it resumed. Change: the end or drain of a target is saved at once, at most every 200 ms; a follower that has followed the others for 10 s takes a saved report of an unknown target as draining until the target reports; the time of a suspension doesn't count as silence.

--- a/Source/Control/control_instance.cc
+++ b/Source/Control/control_instance.cc
@@ -46,6 +46,11 @@
 constexpr milliseconds kRestoredTargetGrace{10'000};
 // Minimum time between two writes of the saved targets.
 constexpr milliseconds kTargetSaveInterval{3000};
+// The same if a target has ended or drains: a process that is killed before the
+// write would restore it as ready.
+constexpr milliseconds kWithdrawalSaveInterval{200};
+// A longer gap between two ticks means that the process was suspended.
+constexpr milliseconds kSuspensionThreshold{500};
 
 }  // namespace
 
@@ -188,6 +193,11 @@
 
 void control_instance::Handle(const target_report_received& event) {
   const report_result result = targets_.Report(now_, event.report);
+  if (result == report_result::kChanged &&
+      event.report.phase != target_phase::kReady) {
+    has_unsaved_withdrawal_ = true;
+    SaveTargets();
+  }
   if (result != report_result::kUnchanged) {
     effects_.emplace_back(target_report_evaluated{event.report, result});
   }
@@ -199,6 +209,8 @@
     last = known->report;
   }
   targets_.MarkGone(now_, event.id, last);
+  has_unsaved_withdrawal_ = true;
+  SaveTargets();
   target_report ended = last.value_or(target_report{.id = event.id});
   ended.phase = target_phase::kGone;
   effects_.emplace_back(
@@ -233,6 +245,10 @@
 }
 
 void control_instance::Handle(const control_tick&) {
+  if (last_tick_at_ && now_ - *last_tick_at_ > kSuspensionThreshold) {
+    targets_.IgnoreSilence(now_, now_ - *last_tick_at_);
+  }
+  last_tick_at_ = now_;
   ReduceAgreement(agreement_tick{});
   for (const target_id& id : targets_.Tick(now_)) {
     effects_.emplace_back(target_report_evaluated{
@@ -264,8 +280,11 @@
 
 void control_instance::SaveTargets() {
   if (targets_.revision() == saved_revision_) return;
-  if (last_save_at_ && now_ - *last_save_at_ < kTargetSaveInterval) return;
+  const milliseconds interval =
+      has_unsaved_withdrawal_ ? kWithdrawalSaveInterval : kTargetSaveInterval;
+  if (last_save_at_ && now_ - *last_save_at_ < interval) return;
   last_save_at_ = now_;
+  has_unsaved_withdrawal_ = false;
   saved_revision_ = targets_.revision();
   save_targets save;
   for (const auto& [id, target] : targets_.targets()) {
--- a/Source/Control/control_instance.h
+++ b/Source/Control/control_instance.h
@@ -202,6 +202,7 @@
   // Sends updates to the followers with unsent changes, or with `to_all` to
   // every follower.
   void PushUpdates(bool to_all);
+  // Saves the targets if they have changed and the last write isn't too recent.
   void SaveTargets();
   feed_content MakeFeedContent() const;
   // This control instance and all others that have sent an update and their log
@@ -224,7 +225,10 @@
   std::uint64_t target_epoch_;
   std::optional<instant> started_at_;
   std::optional<instant> last_plan_at_;
+  std::optional<instant> last_tick_at_;
   std::optional<instant> last_save_at_;
+  // A target has ended or begun to drain since the last write.
+  bool has_unsaved_withdrawal_ = false;
   // Revisions of `targets_` that were last saved and last pushed.
   std::uint64_t saved_revision_ = 0;
   std::uint64_t pushed_revision_ = 0;
--- a/Source/Following/control_follower.cc
+++ b/Source/Following/control_follower.cc
@@ -206,6 +206,7 @@
       events->emplace_back(target_record_refused{from, {record.id()}});
       continue;
     }
+    LimitRestoredReport(now, &*report);
     if (auto change = state_.targets.Apply(now, from, *report)) {
       events->emplace_back(*std::move(change));
     }
@@ -216,6 +217,16 @@
   if (!first_sync_at_) first_sync_at_ = now;
 }
 
+void control_follower::LimitRestoredReport(instant now,
+                                           target_report* report) const {
+  if (!report->restored || report->phase != target_phase::kReady) return;
+  if (!first_sync_at_ || now - *first_sync_at_ < kReportRetention) return;
+  if (state_.targets.Find(report->id) != nullptr) return;
+  report->phase = target_phase::kDraining;
+  // Any report of the target itself is newer.
+  report->version.sequence = 0;
+}
+
 std::vector<follow_request> control_follower::Requests(
     instant now, const std::map<service_name, requests_per_s>& demand,
     const unanswered_report& unanswered) {
--- a/Source/Following/control_follower.h
+++ b/Source/Following/control_follower.h
@@ -156,6 +156,11 @@
   void ApplyTargets(instant now, const instance_name& from,
                     const wire::update& update,
                     std::vector<follower_event>* events);
+  // A control instance that was down for long has saved reports of targets that
+  // may have left since. A target that is unknown here, although this instance
+  // has followed the others for kReportRetention, gets no new flows until it
+  // reports; packets of its open flows are forwarded.
+  void LimitRestoredReport(instant now, target_report* report) const;
   void UpdateClosed(instant now);
   // Chooses the first control instance to request the published state from.
   void InitializeStateSource();
--- a/Source/Targets/target_registry.cc
+++ b/Source/Targets/target_registry.cc
@@ -1,5 +1,7 @@
 #include "Targets/target_registry.h"
 
+#include <algorithm>
+
 namespace lavendertack {
 namespace {
 
@@ -153,6 +155,14 @@
   return silent;
 }
 
+void target_registry::IgnoreSilence(instant now, microseconds time) {
+  for (auto& [id, target] : targets_) {
+    // Later than now for a restored target.
+    if (target.last_report >= now) continue;
+    target.last_report = std::min(now, target.last_report + time);
+  }
+}
+
 void target_registry::RepublishNextReports(
     const data_centre_name& data_centre) {
   for (const auto& [id, target] : targets_) {
--- a/Source/Targets/target_registry.h
+++ b/Source/Targets/target_registry.h
@@ -85,6 +85,9 @@
   // `unanswered_silent_after` applies. Erases ended and silent targets without
   // a report for `forget_after`.
   std::vector<target_id> Tick(instant now);
+  // Call it when this process was suspended for `time` until `now` and received
+  // no reports: the time doesn't count as silence of the targets.
+  void IgnoreSilence(instant now, microseconds time);
   // The next report of each target in the data centre counts as a change even
   // if its content is the same.
   void RepublishNextReports(const data_centre_name& data_centre);
--- a/Source/UnitTests/Following/control_follower_test.cc
+++ b/Source/UnitTests/Following/control_follower_test.cc
@@ -234,6 +234,38 @@
     REQUIRE_FALSE(
         follower.state().targets.Find({"i-1"})->IsReporting(now + seconds(10)));
   }
+  SECTION("a saved report of an unknown target") {
+    target_report saved = Report(2, 5, target_phase::kReady);
+    const auto restart_with_saved_report = [&] {
+      second_control.registry.Restore(saved, now + seconds(10));
+      now += kInterval;
+      ExchangeUpdate(&follower, &second_control, now);
+    };
+    const auto accepts_new_flows = [&] {
+      return follower.state().targets.Find(saved.id)->AcceptsNewFlows(now);
+    };
+    SECTION("opens it for new flows after an outage of the whole fleet") {
+      restart_with_saved_report();
+      REQUIRE(accepts_new_flows());
+    }
+    // The target has left while the control instance was down, so long ago that
+    // the others have erased it.
+    SECTION("doesn't bring it back later") {
+      for (int i = 0; i < 30; ++i) {
+        now += kInterval;
+        ExchangeUpdate(&follower, &first_control, now);
+      }
+      restart_with_saved_report();
+      REQUIRE_FALSE(accepts_new_flows());
+      SECTION("until it reports") {
+        second_control.registry.Report(now, Report(2, 1, target_phase::kReady));
+        second_control.registry.Report(now, Report(2, 6, target_phase::kReady));
+        now += kInterval;
+        ExchangeUpdate(&follower, &second_control, now);
+        REQUIRE(accepts_new_flows());
+      }
+    }
+  }
   SECTION(
       "a data centre is closed if a control instance with the newest state "
       "reports it as closed") {
