Runtime: a second control process leaves the log of the running one unchanged

Cause: opening the log replaces the file, and a control process opened it before it found its address in use. The running process went on writing to the replaced file, so its later records were lost with its next restart. Change: the process listens before it opens the log. Measured: ControlLoopTest failed before the change (1 of 4 assertions), passes after it.

--- a/Source/Runtime/control_loop.cc
+++ b/Source/Runtime/control_loop.cc
@@ -78,8 +78,10 @@
   control_loop& operator=(const control_loop&) = delete;
 
   std::optional<fleet_error> Start() {
-    if (auto error = OpenRecordLog()) return error;
+    // First, because it fails while another process runs with this address.
+    // Opening the log replaces the file, so that process would lose records.
     links_.Listen(settings_.self);
+    if (auto error = OpenRecordLog()) return error;
     call_server_ = std::make_unique<http_server>(
         endpoint{ToString(role_.calls.ip), role_.calls.port.value},
         http_limits{.body_bytes = adapter_.calls.max_body_bytes,
