--- a/Source/Control/control_instance.h
+++ b/Source/Control/control_instance.h
@@ -210,6 +210,7 @@
   // Sends updates to the followers with unsent changes, or with `to_all` to
   // every follower.
   void PushUpdates(bool to_all);
+  // Saves the targets if they have changed and the last write isn't too recent.
   void SaveTargets();
   // Compares the outcomes of the targets' requests if that is due, and applies
   // the weights of the targets that report to this instance.
@@ -239,7 +240,10 @@
   std::uint64_t target_epoch_;
   std::optional<instant> started_at_;
   std::optional<instant> last_plan_at_;
+  std::optional<instant> last_tick_at_;
   std::optional<instant> last_save_at_;
+  // A target has ended or begun to drain since the last write.
+  bool has_unsaved_withdrawal_ = false;
   // Revisions of `targets_` that were last saved and last pushed.
   std::uint64_t saved_revision_ = 0;
   std::uint64_t pushed_revision_ = 0;
--- a/Source/Forwarding/flow_router.cc
+++ b/Source/Forwarding/flow_router.cc
@@ -112,6 +112,9 @@
   if (found_route == state_->routes.end()) {
     return reset_caller{forward_reason::kNoRoute};
   }
+  // An earlier connection from the same port has ended. If its target is lost,
+  // the new connection must not be reset.
+  flows_.Remove(packet.flow);
   if (!link_.CanOpen(now, found_route->second.priority,
                      packet.retransmission > 0)) {
     return Refuse(now, {forward_reason::kLinkFull});
