Control: a target that is silent for a while keeps its weight

Cause: the findings of silent targets were erased, so the next report restored the full weight; targets that no control instance hears counted as ready. Change: silent targets are passed on as not ready. Result: TargetWeightsTest passes with a silent target and one that changes over to another control instance.

--- a/Source/Control/control_instance.cc
+++ b/Source/Control/control_instance.cc
@@ -276,30 +276,37 @@
 
 std::vector<evaluated_target> control_instance::CollectTargets() const {
   std::vector<evaluated_target> collected;
-  const auto collect = [&](const target_report& report) {
+  const auto collect = [&](const target_report& report, bool is_ready) {
     collected.push_back({.id = report.id,
                          .service = report.service,
                          .data_centre = report.data_centre,
                          .slots = report.slots,
                          .started_ms = report.version.started_ms,
-                         .is_ready = report.phase == target_phase::kReady,
+                         .is_ready = is_ready,
                          .published = std::nullopt});
   };
+  const target_view& others = follower_.state().targets;
+  const auto reports_elsewhere = [&](const target_id& id) {
+    const known_target* target = others.Find(id);
+    return target != nullptr && !target->IsTerminated() &&
+           target->IsReporting(now_);
+  };
   const auto& own = targets_.targets();
   for (const auto& [id, target] : own) {
-    // A silent target may report to another control instance.
-    if (target.report.phase == target_phase::kReady ||
-        target.report.phase == target_phase::kDraining) {
-      collect(target.report);
-    }
+    const target_phase phase = target.report.phase;
+    if (phase == target_phase::kGone) continue;
+    if (phase == target_phase::kSilent && reports_elsewhere(id)) continue;
+    collect(target.report, phase == target_phase::kReady);
   }
-  for (const auto& [id, target] : follower_.state().targets.targets()) {
+  for (const auto& [id, target] : others.targets()) {
     if (target->IsTerminated()) continue;
     if (auto it = own.find(id);
-        it != own.end() && it->second.report.phase != target_phase::kSilent) {
+        it != own.end() && (it->second.report.phase != target_phase::kSilent ||
+                            !reports_elsewhere(id))) {
       continue;
     }
-    collect(target->report);
+    collect(target->report, target->report.phase == target_phase::kReady &&
+                                target->IsReporting(now_));
     collected.back().published = target->report.weight;
   }
   return collected;
--- a/Source/UnitTests/Control/target_weights_test.cc
+++ b/Source/UnitTests/Control/target_weights_test.cc
@@ -134,6 +134,8 @@
   message_filter to_entry = [](wire::fleet_message*) { return true; };
   std::function<microseconds()> caller_delay = [] { return microseconds(500); };
   milliseconds request_interval{3};
+  std::optional<std::size_t> silent;  // A target that sends no reports.
+  std::optional<std::size_t> reports_to_second;  // Instead of the first.
   double lost_share = 0;         // Of answers; callers get them 200 ms later.
   double short_class_share = 0;  // Answers that are short at every target.
 
@@ -148,7 +150,10 @@
   void ReportTarget(std::size_t i) {
     ++report_number_;
     // The last targets report to the second control instance.
-    Dispatch(i < kTargets / 2 ? 0 : 1, target_report_received{Report(i)});
+    const bool to_second = i >= kTargets / 2 || reports_to_second == i;
+    if (silent != i) {
+      Dispatch(to_second ? 1 : 0, target_report_received{Report(i)});
+    }
     queue.ScheduleAfter(kReportInterval, [this, i] { ReportTarget(i); });
   }
 
@@ -319,6 +324,20 @@
     }
     REQUIRE(share < kMaxFailingShare);
     REQUIRE(fleet.WeightOf(0) == percent{2});
+    SECTION("and one that doesn't report for some seconds keeps its weight") {
+      fleet.silent = 0;
+      fleet.Run(seconds(4));
+      fleet.silent.reset();
+      fleet.Run(milliseconds(1500));
+      REQUIRE(fleet.WeightOf(0) == percent{2});
+    }
+    SECTION("and one that changes over to another control instance, too") {
+      fleet.reports_to_second = 0;
+      fleet.Run(milliseconds(1500));
+      REQUIRE(fleet.WeightOf(0) == percent{2});
+      fleet.Run(seconds(5));
+      REQUIRE(fleet.WeightOf(0) == percent{2});
+    }
     SECTION("and a restarted one starts without the finding") {
       fleet.behaviour[0].answer_bytes = 1000;
       fleet.RestartTarget(0);
