Forwarding: estimate the rate of new accounts, limit deviations of the share

In the model all callers share one address that changes every few seconds. New accounts with several openings now count by their rate, and clear deviations from the required share are corrected for all callers. Retries are recognised within 400 ms instead of 1.5 s: with a request per second, most later requests were taken for retries.

FleetModelTest passes again (922 assertions), as do CallerSharesTest (96), FlowRouterTest (83) and EntryInstanceTest (92).

--- a/Source/Forwarding/caller_counts.cc
+++ b/Source/Forwarding/caller_counts.cc
@@ -1,5 +1,6 @@
 #include "Forwarding/caller_counts.h"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -13,6 +14,12 @@
 // then 5e21, far from the overflow of a double.
 constexpr double kMaxScaleWindows = 50;
 
+// Openings and time from which the rate of a new caller is estimated. With
+// fewer openings, the rate of a caller with few requests would be
+// overestimated.
+constexpr double kMinRateOpenings = 8;
+constexpr milliseconds kMinRateTime{200};
+
 }  // namespace
 
 double caller_counts::Scale(instant now) const {
@@ -47,14 +54,14 @@
     return;
   }
   if (accounts_.size() < capacity_) {
-    by_caller_[caller] =
-        accounts_.emplace(weight, caller_account{.caller = caller});
+    by_caller_[caller] = accounts_.emplace(
+        weight, caller_account{.caller = caller, .first_seen = now});
     return;
   }
   // The nodes of the replaced account are reused.
   auto node = accounts_.extract(accounts_.begin());
   auto index_node = by_caller_.extract(node.mapped().caller);
-  node.mapped() = {.caller = caller, .error = node.key()};
+  node.mapped() = {.caller = caller, .first_seen = now, .error = node.key()};
   node.key() += weight;
   index_node.key() = caller;
   index_node.mapped() = accounts_.insert(std::move(node));
@@ -70,16 +77,24 @@
   auto found = by_caller_.find(caller);
   if (found == by_caller_.end()) return 0;
   const auto& [count, account] = *found->second;
-  return (count - account.error) / Scale(now);
+  return OwnOpenings(now, count, account);
+}
+
+double caller_counts::OwnOpenings(instant now, double count,
+                                  const caller_account& account) const {
+  const double own = (count - account.error) / Scale(now);
+  if (own < kMinRateOpenings) return own;
+  const std::chrono::duration<double> age =
+      std::max<microseconds>(now - account.first_seen, kMinRateTime);
+  return own / (1 - std::exp(-age / window_));
 }
 
 double caller_counts::Total(instant now) const { return total_ / Scale(now); }
 
 void caller_counts::ForEach(
     instant now, const std::function<void(caller_account&, double)>& visit) {
-  const double scale = Scale(now);
   for (auto& [count, account] : accounts_) {
-    visit(account, (count - account.error) / scale);
+    visit(account, OwnOpenings(now, count, account));
   }
 }
 
--- a/Source/Forwarding/caller_counts.h
+++ b/Source/Forwarding/caller_counts.h
@@ -24,6 +24,7 @@
 // State of one caller address.
 struct caller_account {
   ipv4_address caller;
+  instant first_seen;
   // Part of the count that may belong to replaced callers, in scaled openings.
   double error = 0;
   std::uint32_t refused = 0;  // Refused openings since the last report.
@@ -46,7 +47,9 @@
   // The caller's account; null if it isn't in the table. Valid until the caller
   // is replaced or expires.
   caller_account* Find(ipv4_address caller);
-  // Openings that are certainly the caller's own; 0 if it isn't in the table.
+  // Openings that are certainly the caller's own; 0 if it isn't in the table. A
+  // caller that is new and has several openings counts as if it had had the
+  // same rate for the whole window.
   double OwnOpenings(instant now, ipv4_address caller) const;
   // Openings of all callers, including those that aren't in the table.
   double Total(instant now) const;
@@ -63,6 +66,8 @@
   // doesn't change with time.
   using accounts_by_count = std::multimap<double, caller_account>;
 
+  double OwnOpenings(instant now, double count,
+                     const caller_account& account) const;
   // Weight of an opening at `now`, in scaled openings.
   double Scale(instant now) const;
   // Replaces the reference time of the scale before weights can overflow.
--- a/Source/Forwarding/caller_shares.cc
+++ b/Source/Forwarding/caller_shares.cc
@@ -22,17 +22,17 @@
 // The position advances by the golden ratio per period: a caller's refused
 // periods are spread evenly over time, which a new hash per period wouldn't do.
 constexpr double kPositionStep = 0.6180339887498949;
-// Callers abandon an attempt after 1.4 s if the reset is lost.
-constexpr milliseconds kRetryWindow{1500};
+// Callers retry at once. A longer window would take later requests of callers
+// that don't retry for retries.
+constexpr milliseconds kRetryWindow = kDecisionPeriod;
 // Time from a caller's opening packet to its retransmissions. A retransmission
 // gets the decision of the opening packet, also if the reset was lost.
 constexpr std::array<milliseconds, 3> kRetransmissionDelays{
     milliseconds(0), milliseconds(200), milliseconds(600)};
 // An account with a larger part of all openings is refused by connection
 // instead of by period: refusing and accepting all of it in turn would fill the
-// targets' queues in one period and leave slots idle in the next. With all
-// callers behind one address, the model then served 0.94 instead of 0.99 of the
-// requests of the highest priority in time.
+// targets' queues in one period and leave slots idle in the next. Its retries
+// take only from its own share.
 constexpr double kMaxPeriodicPart = 0.1;
 // Sorting the callers takes longer than a decision, so it isn't done more
 // often.
@@ -45,10 +45,10 @@
 // corrected.
 constexpr double kMaxCorrection = 0.1;
 // Window in which the refusals are compared with the required ones.
-constexpr milliseconds kShortfallWindow{500};
-// A greater shortfall, in standard deviations of the number of refusals, isn't
-// due to chance.
-constexpr double kMaxShortfall = 2;
+constexpr milliseconds kDeviationWindow{500};
+// A greater deviation, in standard deviations of the number of refusals, isn't
+// due to chance. With 2, callers below their share are refused more often.
+constexpr double kMaxDeviation = 3;
 // Without a decision for this long, no caller counts as above its share.
 constexpr milliseconds kDecisionMemory{1000};
 
@@ -121,8 +121,8 @@
     : counts_(max_callers, kCountWindow),
       recent_retries_(kRetryRateWindow),
       refused_requests_(kRetryRateWindow),
-      recent_required_(kShortfallWindow),
-      recent_refused_(kShortfallWindow),
+      recent_required_(kDeviationWindow),
+      recent_refused_(kDeviationWindow),
       position_(std::move(position)) {}
 
 std::size_t caller_shares::MatchRetry(instant now, const flow_key& flow,
@@ -158,11 +158,11 @@
   return openings_part / (1 + retries * (1 - openings_part));
 }
 
-bool caller_shares::FallsShort(instant now, double share) const {
+double caller_shares::Deviation(instant now, double share) const {
   const double required = recent_required_.ValueAt(now);
-  const double tolerance =
-      kMaxShortfall * std::sqrt(required * std::max(0.0, 1 - share));
-  return required - recent_refused_.ValueAt(now) > tolerance;
+  const double variance = required * (1 - share);
+  if (variance <= 0) return 0;
+  return (recent_refused_.ValueAt(now) - required) / std::sqrt(variance);
 }
 
 bool caller_shares::IsRefused(instant now, const flow_packet& packet,
@@ -174,12 +174,14 @@
   const double corrected = Corrected(now, share);
   double refused_part = corrected;
   // Without a fair share, each caller is refused the same part.
-  if (bound_.total() > 0 && corrected < 1) {
+  if (counted_ > 0 && corrected < 1) {
     // The bound grows and falls with the number of openings.
-    const double bound = bound_.BoundFor(corrected) * total / bound_.total();
+    const double bound = bound_.BoundFor(corrected) * total / counted_;
     refused_part = own > bound ? 1 - bound / own : 0;
   }
-  if (FallsShort(now, share)) refused_part = std::max(refused_part, share);
+  const double deviation = Deviation(now, share);
+  if (deviation < -kMaxDeviation) refused_part = std::max(refused_part, share);
+  if (deviation > kMaxDeviation) refused_part = std::min(refused_part, share);
   if (own > kMaxPeriodicPart * total) {
     return FlowPosition(packet.flow) < refused_part;
   }
@@ -228,7 +230,8 @@
     openings_.push_back(own);
     known += own;
   });
-  bound_.Set(openings_, std::max(0.0, counts_.Total(now) - known));
+  counted_ = counts_.Total(now);
+  bound_.Set(openings_, std::max(0.0, counted_ - known));
   above_share_ = 0;
   if (last_share_ <= 0 || now - last_decision_ > kDecisionMemory) return;
   const double bound = bound_.BoundFor(Corrected(now, last_share_));
@@ -239,8 +242,8 @@
 
 void caller_shares::DiscardDecisions() {
   owed_refusals_ = 0;
-  recent_required_ = decayed_count(kShortfallWindow);
-  recent_refused_ = decayed_count(kShortfallWindow);
+  recent_required_ = decayed_count(kDeviationWindow);
+  recent_refused_ = decayed_count(kDeviationWindow);
   last_share_ = 0;
   above_share_ = 0;
 }
--- a/Source/Forwarding/caller_shares.h
+++ b/Source/Forwarding/caller_shares.h
@@ -48,8 +48,6 @@
   // Returns the number of openings per caller above which openings must be
   // refused so that `share` of all are. Takes logarithmic time.
   double BoundFor(double share) const;
-  // All openings, including those of unknown callers.
-  double total() const { return steps_.empty() ? 0 : steps_.back().sum; }
 
  private:
   // The callers with at least `openings` openings, together.
@@ -106,16 +104,17 @@
   bool IsRefused(instant now, const flow_packet& packet, double share) const;
   // The share to ask for so that the refused share is `share` over time.
   double Corrected(instant now, double share) const;
-  // Whether clearly fewer openings than required were refused recently. This
-  // happens when the openings come from new callers, whose counts are still
-  // low.
-  bool FallsShort(instant now, double share) const;
+  // Difference between the recent refusals and the required ones, in standard
+  // deviations. It is large when the openings come from other callers than
+  // before, as the counts follow them slowly.
+  double Deviation(instant now, double share) const;
   // The part of the first attempts to refuse so that `openings_part` of all
   // openings are refused, if the retries of these are refused as well.
   double FirstAttemptPart(instant now, double openings_part) const;
 
   caller_counts counts_;
   fair_share_bound bound_;
+  double counted_ = 0;  // Openings of all callers when `bound_` was set.
   decayed_count recent_retries_;
   decayed_count refused_requests_;  // At their first attempt.
   decayed_count recent_required_;   // Refusals.
