--- a/Source/Forwarding/caller_shares.h
+++ b/Source/Forwarding/caller_shares.h
@@ -28,6 +28,7 @@
 struct refusal_class {
   service_name service;
   std::uint32_t priority = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy misreads operator<=>.
   friend auto operator<=>(const refusal_class&, const refusal_class&) = default;
 };
 
