Forwarding: same refusals in all data centres

Cause: each entry instance computed the pressure from its own response time, so instances refused different shares of the same overload (1, 1 and 0 admitted at response times of 20, 40 and 90 ms). Change: entry instances report response time and refusal level with their demand (at most 7 bytes per service), control instances send the weighted means with the sums, and each instance computes the pressure from these. Sums carry their age; they are repeated every 2 s and not used 5 s after the last update.

--- a/Source/Control/control_instance.h
+++ b/Source/Control/control_instance.h
@@ -168,6 +168,10 @@
   const target_registry& targets() const { return targets_; }
   const control_follower& peers() const { return follower_; }
   std::size_t follower_count() const { return feed_.size(); }
+  // Number of followers' demand records that were ignored as invalid.
+  std::uint64_t refused_demand_records() const {
+    return feed_.refused_demand_records();
+  }
   // Whether this instance is in contact with a majority of the voters, itself
   // included if it votes.
   bool ReachesMajority(instant now) const;
--- a/Source/Control/follower_feed.cc
+++ b/Source/Control/follower_feed.cc
@@ -1,11 +1,10 @@
 #include "Control/follower_feed.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
+#include "Following/demand_codec.h"
 #include "Following/target_codec.h"
-#include "Forwarding/demand.h"
 
 namespace lavendertack {
 namespace {
@@ -20,9 +19,10 @@
 // Minimum time between two pushes to the same follower, so that a quick series
 // of manifests is sent as a few combined differences.
 constexpr milliseconds kPushInterval{50};
-// The demand for a service is sent again only if it changed by more than this
-// fraction of the larger value.
-constexpr double kDemandChange = 0.15;
+// A sum of the demand that hasn't changed is sent again after this time,
+// because the update with it may have been lost. Less than half of the time
+// after which entry instances discard figures.
+constexpr milliseconds kDemandRefresh{2000};
 
 }  // namespace
 
@@ -86,8 +86,8 @@
 }
 
 void follower_feed::RemoveDemand(follower_state* follower) {
-  for (const auto& [service, rate] : follower->demand) {
-    demand_[{service, follower->data_centre}] -= rate;
+  for (const auto& [service, load] : follower->demand) {
+    demand_[{service, follower->data_centre}].Remove(load);
   }
   follower->demand.clear();
 }
@@ -97,25 +97,32 @@
   RemoveDemand(follower);
   follower->data_centre = {request.data_centre()};
   for (const wire::demand_record& row : request.demand()) {
-    follower->demand[{row.service()}] = row.requests_per_s();
+    if (auto load = DecodeLoad(row)) {
+      follower->demand[{row.service()}] = *load;
+    } else {
+      ++refused_demand_records_;
+    }
   }
-  for (const auto& [service, rate] : follower->demand) {
-    demand_[{service, follower->data_centre}] += rate;
+  for (const auto& [service, load] : follower->demand) {
+    demand_[{service, follower->data_centre}].Add(load);
   }
 }
 
-void follower_feed::AddDemand(follower_state* follower,
+void follower_feed::AddDemand(instant now, follower_state* follower,
                               wire::update* update) const {
   for (const auto& [key, sum] : demand_) {
-    // Adding and subtracting rates leaves a small remainder by rounding.
-    const double rate = sum < kMinDemand ? 0 : sum;
-    double& last = follower->sent_demand[key];
-    if (std::abs(rate - last) <= kDemandChange * std::max(rate, last)) continue;
-    last = rate;
+    const service_load load = sum.Value();
+    auto [it, added] = follower->sent_demand.try_emplace(key);
+    sent_load& last = it->second;
+    if (!added && !IsChanged(load, last.load) &&
+        now - last.sent_at < kDemandRefresh) {
+      continue;
+    }
+    last = {load, now};
     auto* row = update->add_demand();
     row->set_service(key.first.value);
     row->set_data_centre(key.second.value);
-    row->set_requests_per_s(static_cast<float>(rate));
+    EncodeLoad(load, row);
   }
 }
 
@@ -148,7 +155,9 @@
     follower.targets.Acknowledge(now, acknowledged_targets, kResendAfter);
   }
   feed_update reply = MakeUpdate(now, from, &follower, content);
-  if (!follower.control) AddDemand(&follower, reply.message.mutable_update());
+  if (!follower.control) {
+    AddDemand(now, &follower, reply.message.mutable_update());
+  }
   return reply;
 }
 
--- a/Source/Control/follower_feed.h
+++ b/Source/Control/follower_feed.h
@@ -13,6 +13,7 @@
 
 #include "Common/instant.h"
 #include "Control/sent_cursor.h"
+#include "Forwarding/fleet_demand.h"
 #include "Manifest/published_state.h"
 #include "Targets/target_registry.h"
 #include "Wire/fleet.pb.h"
@@ -55,14 +56,22 @@
 
   // Number of followers.
   std::size_t size() const { return followers_.size(); }
+  // Number of demand records that were ignored because a value wasn't valid.
+  std::uint64_t refused_demand_records() const {
+    return refused_demand_records_;
+  }
 
  private:
+  // A load that was sent to a follower.
+  struct sent_load {
+    service_load load;
+    instant sent_at;
+  };
   struct follower_state {
     bool control = false;  // The follower is a control instance itself.
     data_centre_name data_centre;
-    std::map<service_name, double> demand;  // Requests per second.
-    // Sums of the demand, in requests per second, that were last sent to it.
-    std::map<std::pair<service_name, data_centre_name>, double> sent_demand;
+    std::map<service_name, service_load> demand;  // As it has reported.
+    std::map<load_key, sent_load> sent_demand;    // Sums last sent to it.
     bool wants_state = true;  // Gets the published state from this instance.
     sent_cursor state;        // Published state, by log entry.
     // Time that the state sent last may need to arrive.
@@ -80,15 +89,17 @@
   // Subtracts the follower's demand from the sums.
   void RemoveDemand(follower_state* follower);
   // Adds the sums of the demand that changed since they were last sent to the
-  // follower.
-  void AddDemand(follower_state* follower, wire::update* update) const;
+  // follower, or were sent too long ago.
+  void AddDemand(instant now, follower_state* follower,
+                 wire::update* update) const;
   // Builds an update with all unsent changes and marks them as sent.
   feed_update MakeUpdate(instant now, const link_id& to,
                          follower_state* follower, const feed_content& content);
 
   std::map<link_id, follower_state> followers_;
-  // Sums of the demand over all followers, in requests per second.
-  std::map<std::pair<service_name, data_centre_name>, double> demand_;
+  // Demand over all followers.
+  std::map<load_key, load_sum> demand_;
+  std::uint64_t refused_demand_records_ = 0;
 };
 
 }  // namespace lavendertack
--- a/Source/Entry/entry_instance.cc
+++ b/Source/Entry/entry_instance.cc
@@ -23,6 +23,10 @@
 // Shortest time between two reports of unanswered packets to the control
 // instances.
 constexpr milliseconds kUnansweredReportInterval{150};
+// A longer time between two ticks means that the process was paused, and that
+// the demand of that time wasn't measured. A shorter pause changes the average
+// over 3 s by less than a third.
+constexpr milliseconds kMaxTickGap{1000};
 // Limits of the held packets. Callers abandon an attempt to connect after 1.4 s
 // and retransmit other packets after at most 1.6 s.
 constexpr held_packet_limits kHeldPacketLimits{.packets = 512,
@@ -74,6 +78,7 @@
     instant now, const wire::fleet_message& message) {
   if (!message.has_update()) return {};
   auto events = follower_.Apply(now, {message.from()}, message.update());
+  router_.AlignRefusalLevels(now);
   for (const follower_event& event : events) {
     const auto* change = std::get_if<target_change>(&event);
     if (change == nullptr) continue;
@@ -97,10 +102,14 @@
     last_unanswered_report_ = now;
     unanswered = router_.unanswered().TakeReport(now);
   }
-  return follower_.Requests(now, router_.demand().Rates(now), unanswered);
+  return follower_.Requests(now, router_.Loads(now), unanswered);
 }
 
 std::vector<follower_event> entry_instance::Tick(instant now) {
+  if (!last_tick_ || now - *last_tick_ > kMaxTickGap) {
+    router_.RestartMeasurement(now);
+  }
+  last_tick_ = now;
   router_.Tick(now);
   return follower_.Tick(now);
 }
--- a/Source/Entry/entry_instance.h
+++ b/Source/Entry/entry_instance.h
@@ -87,6 +87,7 @@
   flow_router router_;
   held_packets held_;
   std::vector<flow_packet> lost_flows_;
+  std::optional<instant> last_tick_;
   // When unanswered packets were last reported to the control instances.
   instant last_unanswered_report_;
   std::optional<instant> stop_requested_at_;
--- a/Source/Following/control_follower.cc
+++ b/Source/Following/control_follower.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 
 #include "Common/hash.h"
+#include "Following/demand_codec.h"
 #include "Following/target_codec.h"
 #include "Forwarding/demand.h"
 
@@ -41,6 +42,9 @@
 // with each change of the source, as the state may just need long to arrive.
 constexpr milliseconds kStateWait{1000};
 constexpr int kMaxStateWaitDoublings = 3;
+// Shortest time between two events about invalid demand records of one control
+// instance.
+constexpr milliseconds kDemandRefusalLogInterval{1000};
 // Maximum number of followed control instances.
 constexpr std::size_t kMaxControls = 16;
 
@@ -98,9 +102,7 @@
   ApplyState(now, from, update, &events);
   ReviewStateSource(now, from);
   ApplyTargets(now, from, update, &events);
-  for (const wire::demand_record& row : update.demand()) {
-    state_.demand[{row.service()}][{row.data_centre()}] = row.requests_per_s();
-  }
+  ApplyDemand(now, from, update, &events);
   return events;
 }
 
@@ -216,8 +218,27 @@
   if (!first_sync_at_) first_sync_at_ = now;
 }
 
+void control_follower::ApplyDemand(instant now, const instance_name& from,
+                                   const wire::update& update,
+                                   std::vector<follower_event>* events) {
+  std::map<load_key, service_load> changes;
+  for (const wire::demand_record& row : update.demand()) {
+    if (auto load = DecodeLoad(row)) {
+      changes[{{row.service()}, {row.data_centre()}}] = *load;
+      continue;
+    }
+    ++refused_demand_records_;
+    auto& logged = controls_[from].demand_refusal_logged;
+    if (logged && now - *logged < kDemandRefusalLogInterval) continue;
+    logged = now;
+    events->emplace_back(demand_record_refused{from, {row.service()}});
+  }
+  state_.fleet.Apply(now, from, update.target_epoch(), changes);
+  state_.demand = state_.fleet.Demand();
+}
+
 std::vector<follow_request> control_follower::Requests(
-    instant now, const std::map<service_name, requests_per_s>& demand,
+    instant now, const std::map<service_name, service_load>& demand,
     const unanswered_report& unanswered) {
   std::vector<follow_request> requests;
   InitializeStateSource();
@@ -242,11 +263,11 @@
     follow->set_without_state(name != *state_source_);
     follow->set_target_epoch(control.target_epoch);
     follow->set_target_revision(control.target_revision);
-    for (const auto& [service, rate] : demand) {
-      if (rate < kMinDemand) continue;
+    for (const auto& [service, load] : demand) {
+      if (load.demand < kMinDemand) continue;
       auto* row = follow->add_demand();
       row->set_service(service.value);
-      row->set_requests_per_s(static_cast<float>(rate));
+      EncodeLoad(load, row);
     }
     for (const auto& [tag, packets] : unanswered) {
       auto* row = follow->add_unanswered();
@@ -302,6 +323,10 @@
     }
   }
   if (any_reachable) state_.targets.Forget(now, kTargetRetention);
+  state_.fleet.Expire(now);
+  // Without any valid report, new flows are still split by the last known
+  // demand; refusals don't use it.
+  if (state_.fleet.IsKnown(now)) state_.demand = state_.fleet.Demand();
   return events;
 }
 
--- a/Source/Following/control_follower.h
+++ b/Source/Following/control_follower.h
@@ -63,6 +63,8 @@
   log_index closed_index;
   // It was lost, and the reports that it relayed are expiring.
   bool reports_expiring = false;
+  // When an invalid demand record from it was last logged.
+  std::optional<instant> demand_refusal_logged;
 };
 
 // Events for the log.
@@ -89,8 +91,15 @@
   instance_name from;
   target_id target;
 };
-using follower_event = std::variant<control_found, control_lost, state_followed,
-                                    target_change, target_record_refused>;
+// A demand record was ignored because one of its values isn't valid. At most
+// one event a second for each control instance.
+struct demand_record_refused {
+  instance_name from;
+  service_name service;
+};
+using follower_event =
+    std::variant<control_found, control_lost, state_followed, target_change,
+                 target_record_refused, demand_record_refused>;
 
 // A request to be sent to a control instance.
 struct follow_request {
@@ -110,11 +119,11 @@
   // Applies the update of a control instance and returns events for the log.
   std::vector<follower_event> Apply(instant now, const instance_name& from,
                                     const wire::update& update);
-  // Returns the requests that are due at `now`. `demand` is the rate of
-  // callers' requests at this instance; rates below `kMinDemand` aren't sent.
+  // Returns the requests that are due at `now`. `demand` is the load by callers
+  // of this instance; services with less than `kMinDemand` aren't sent.
   // If `unanswered` isn't empty, all requests are due.
   std::vector<follow_request> Requests(
-      instant now, const std::map<service_name, requests_per_s>& demand,
+      instant now, const std::map<service_name, service_load>& demand,
       const unanswered_report& unanswered = {});
   // Call it when a request couldn't be sent, as there is no connection to the
   // control instance: it's due again with the next call of `Requests`.
@@ -134,6 +143,10 @@
     return controls_;
   }
   std::set<instance_name> ControlNames() const;
+  // Number of demand records that were ignored because a value wasn't valid.
+  std::uint64_t refused_demand_records() const {
+    return refused_demand_records_;
+  }
   // The control instance that sends the published state; empty before the first
   // request.
   const std::optional<instance_name>& state_source() const {
@@ -156,6 +169,9 @@
   void ApplyTargets(instant now, const instance_name& from,
                     const wire::update& update,
                     std::vector<follower_event>* events);
+  void ApplyDemand(instant now, const instance_name& from,
+                   const wire::update& update,
+                   std::vector<follower_event>* events);
   void UpdateClosed(instant now);
   // Chooses the first control instance to request the published state from.
   void InitializeStateSource();
@@ -174,6 +190,7 @@
   std::optional<instance_name> state_source_;
   // Since when a newer published state than the applied one is known.
   std::optional<instant> behind_since_;
+  std::uint64_t refused_demand_records_ = 0;
   // Number of changes of the source since the last applied state.
   int source_changes_ = 0;
 };
--- a/Source/Forwarding/flow_router.cc
+++ b/Source/Forwarding/flow_router.cc
@@ -239,23 +239,61 @@
 
 slot_pressure flow_router::Pressure(instant now, const service_name& service,
                                     double slots) const {
-  const auto response_time = response_times_.Estimate(service);
-  if (!response_time) return 0;
-  requests_per_s demand = 0;
-  if (auto it = state_->demand.find(service); it != state_->demand.end()) {
-    for (const auto& [name, rate] : it->second) demand += rate;
+  const auto fleet = state_->fleet.LoadOf(now, service);
+  auto response_time = response_times_.Estimate(now, service);
+  if (fleet && fleet->response_time) {
+    response_time =
+        CurrentResponseTime(*fleet->response_time, response_time,
+                            response_times_.SmoothedEstimate(now, service));
   }
+  if (!response_time) return 0;
+  requests_per_s demand = fleet ? fleet->demand : 0;
   // The demand at other instances is assumed to change by the same ratio as the
   // demand at this one.
   const requests_per_s own_demand = demand_.Rate(now, service);
   const requests_per_s recent_demand = recent_demand_.Rate(now, service);
   if (own_demand > kMinDemand) {
-    demand = std::max(demand, own_demand) *
-             std::min(recent_demand / own_demand, kMaxDemandGrowth);
+    double growth = recent_demand / own_demand;
+    // After a start or a pause the long window fills more slowly than the short
+    // one, which isn't growth.
+    if (fleet && measured_since_) {
+      growth *= FilledShare(now - *measured_since_, kDemandWindow) /
+                FilledShare(now - *measured_since_, kRecentDemandWindow);
+    }
+    demand = std::max(demand, own_demand) * std::min(growth, kMaxDemandGrowth);
   }
   return PressureOf(demand, *response_time, slots);
 }
 
+void flow_router::RestartMeasurement(instant now) {
+  demand_ = demand_meter(kDemandWindow);
+  recent_demand_ = demand_meter(kRecentDemandWindow);
+  measured_since_ = now;
+}
+
+std::map<service_name, service_load> flow_router::Loads(instant now) const {
+  std::map<service_name, service_load> loads;
+  for (const auto& [service, rate] : demand_.Rates(now)) {
+    service_load load{
+        .demand = rate,
+        .response_time = response_times_.SmoothedEstimate(now, service)};
+    if (auto it = refusal_levels_.find(service); it != refusal_levels_.end()) {
+      load.refusal_level = it->second.value();
+    }
+    loads[service] = load;
+  }
+  return loads;
+}
+
+void flow_router::AlignRefusalLevels(instant now) {
+  for (const auto& [service, priorities] : state_->priorities) {
+    if (priorities.size() < 2) continue;
+    const auto fleet = state_->fleet.LoadOf(now, service);
+    if (!fleet || !fleet->refusal_level) continue;
+    refusal_levels_[service].Align(now, *fleet->refusal_level);
+  }
+}
+
 std::optional<slot_pressure> flow_router::CheckOverload(
     instant now, const service_name& service, std::uint32_t priority) {
   auto it = state_->priorities.find(service);
--- a/Source/Forwarding/flow_router.h
+++ b/Source/Forwarding/flow_router.h
@@ -16,6 +16,7 @@
 #include "Common/instant.h"
 #include "Common/latency_histogram.h"
 #include "Forwarding/demand.h"
+#include "Forwarding/fleet_demand.h"
 #include "Forwarding/flow_cache.h"
 #include "Forwarding/open_attempts.h"
 #include "Forwarding/overload.h"
@@ -36,9 +37,10 @@
   std::set<data_centre_name> closed;  // Data centres that get no new flows.
   target_view targets;
   // Demand at all entry instances together, by service and data centre of the
-  // callers.
-  std::unordered_map<service_name, std::map<data_centre_name, requests_per_s>>
-      demand;
+  // callers. The placement of new flows uses it even if it's outdated.
+  demand_by_service demand;
+  // Load at all entry instances together, with the age of the reports.
+  fleet_demand fleet;
   service_priorities priorities;  // PrioritiesOf `routes`.
 };
 
@@ -78,15 +80,25 @@
     refusal_policy_ = std::move(policy);
   }
   // Pressure on a service with `slots` slots by the demand at all entry
-  // instances. 0 while its response time hasn't been measured.
+  // instances. It's computed from the fleet's demand and response time, or from
+  // this instance's own where no valid report of them is known. 0 while the
+  // response time hasn't been measured.
   slot_pressure Pressure(instant now, const service_name& service,
                          double slots) const;
+  // Load of each service at this instance, to be reported to the control
+  // instances.
+  std::map<service_name, service_load> Loads(instant now) const;
+  // Discards the measured demand. Call it at the start and after a pause of the
+  // process, which has left the counts of the windows incomplete.
+  void RestartMeasurement(instant now);
+  // Moves the refusal levels towards those of the fleet. Call it when reports
+  // were received.
+  void AlignRefusalLevels(instant now);
   // Refusal levels of the services with routes of different priorities.
   const std::unordered_map<service_name, refusal_level>& refusal_levels()
       const {
     return refusal_levels_;
   }
-  const demand_meter& demand() const { return demand_; }
   // Packets that targets didn't answer, to be reported to the control
   // instances.
   unanswered_packets& unanswered() { return unanswered_; }
@@ -127,6 +139,7 @@
   std::mt19937_64 random_;
   demand_meter demand_;
   demand_meter recent_demand_;  // Over a short window.
+  std::optional<instant> measured_since_;
   std::unordered_map<service_name, refusal_level> refusal_levels_;
   latency_histogram connect_latency_;
   target_load load_;
--- a/Source/Forwarding/overload.cc
+++ b/Source/Forwarding/overload.cc
@@ -20,6 +20,11 @@
 // since the previous connection.
 constexpr milliseconds kMaxRiseInterval{200};
 
+// Time in which the difference from the fleet's level falls to 1/e. Not below
+// the age of the reports, up to 1 s, so that the levels don't oscillate around
+// each other.
+constexpr milliseconds kAlignmentTime{1000};
+
 }  // namespace
 
 slot_pressure PressureOf(requests_per_s demand, microseconds response_time,
@@ -54,6 +59,14 @@
   return level_;
 }
 
+void refusal_level::Align(instant now, double fleet_level) {
+  const double share =
+      aligned_ ? std::chrono::duration<double>(now - *aligned_) / kAlignmentTime
+               : 1.0;
+  aligned_ = now;
+  level_ += std::min(1.0, share) * (fleet_level - level_);
+}
+
 double RefusedShare(double level, std::uint32_t priority,
                     const std::set<std::uint32_t>& priorities) {
   // A lower number is a higher priority.
@@ -63,4 +76,10 @@
   return std::clamp(level - static_cast<double>(lower_priorities), 0.0, 1.0);
 }
 
+double AdmittedShare(slot_pressure pressure, double level,
+                     std::uint32_t priority,
+                     const std::set<std::uint32_t>& priorities) {
+  return pressure < 1 ? 1 : 1 - RefusedShare(level, priority, priorities);
+}
+
 }  // namespace lavendertack
--- a/Source/Forwarding/overload.h
+++ b/Source/Forwarding/overload.h
@@ -51,11 +51,17 @@
   // that may be refused, the maximum of the level.
   double Update(instant now, slot_pressure pressure,
                 std::size_t refusable_priorities);
+  // Moves the level towards that of all entry instances. Levels that follow the
+  // same pressure keep the difference that they start with, such as after a
+  // restart of one instance. The first call, and one after a pause of this
+  // instance, adopts the fleet's level.
+  void Align(instant now, double fleet_level);
   double value() const { return level_; }
 
  private:
   double level_ = 0;
   std::optional<instant> updated_;
+  std::optional<instant> aligned_;
 };
 
 // Share of the new connections of a route with `priority` that is refused, from
@@ -64,6 +70,12 @@
 double RefusedShare(double level, std::uint32_t priority,
                     const std::set<std::uint32_t>& priorities);
 
+// Share of the new connections of a route with `priority` that is admitted,
+// from 0 to 1: nothing is refused while the pressure is below 1.
+double AdmittedShare(slot_pressure pressure, double level,
+                     std::uint32_t priority,
+                     const std::set<std::uint32_t>& priorities);
+
 }  // namespace lavendertack
 
 #endif  // LAVENDERTACK_FORWARDING_OVERLOAD_H_
--- a/Source/Forwarding/response_time_estimator.cc
+++ b/Source/Forwarding/response_time_estimator.cc
@@ -1,6 +1,7 @@
 #include "Forwarding/response_time_estimator.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lavendertack {
 namespace {
@@ -14,6 +15,13 @@
 // Relative change of the median estimate per sample: a change by a factor of 4
 // takes about 30 samples.
 constexpr double kMedianStep = 0.05;
+// An estimate without a sample for this long is discarded: after a pause or
+// after idle time it says nothing about the current load. The same as the
+// lifetime of reports about other instances.
+constexpr milliseconds kEstimateLifetime{5000};
+// Window of the average that is reported to other instances. The same as that
+// of the reported demand.
+constexpr milliseconds kSmoothingWindow{3000};
 
 }  // namespace
 
@@ -42,7 +50,7 @@
     const auto elapsed =
         std::chrono::duration_cast<microseconds>(now - entry.sent);
     if (packet.data_bytes == 0 && elapsed <= kMaxResponseTime) {
-      by_service_[service].Add(elapsed);
+      AddSample(now, elapsed, service);
     }
   }
   if (packet.data_bytes == 0) return;
@@ -57,11 +65,45 @@
   for (timed_request& entry : timed_requests_) entry.in_use = false;
 }
 
-std::optional<microseconds> response_time_estimator::Estimate(
-    const service_name& service) const {
+void response_time_estimator::AddSample(instant now, microseconds elapsed,
+                                        const service_name& service) {
+  service_times& times = by_service_[service];
+  const auto interval = now - times.last_sample;
+  if (interval > kEstimateLifetime) times = {};
+  times.median.Add(elapsed);
+  times.last_sample = now;
+  const auto median_us = static_cast<double>(times.median.value().count());
+  const double weight =
+      times.smoothed_us > 0
+          ? 1 - std::exp(-std::chrono::duration<double>(interval) /
+                         kSmoothingWindow)
+          : 1;
+  times.smoothed_us += weight * (median_us - times.smoothed_us);
+}
+
+const response_time_estimator::service_times* response_time_estimator::Find(
+    instant now, const service_name& service) const {
   auto it = by_service_.find(service);
-  if (it == by_service_.end() || !handshake_.has_value()) return std::nullopt;
-  return std::max(microseconds(0), it->second.value() - handshake_.value());
+  if (it == by_service_.end() || !handshake_.has_value() ||
+      now - it->second.last_sample > kEstimateLifetime) {
+    return nullptr;
+  }
+  return &it->second;
+}
+
+std::optional<microseconds> response_time_estimator::Estimate(
+    instant now, const service_name& service) const {
+  const service_times* times = Find(now, service);
+  if (times == nullptr) return std::nullopt;
+  return std::max(microseconds(0), times->median.value() - handshake_.value());
+}
+
+std::optional<microseconds> response_time_estimator::SmoothedEstimate(
+    instant now, const service_name& service) const {
+  const service_times* times = Find(now, service);
+  if (times == nullptr) return std::nullopt;
+  const microseconds smoothed(static_cast<std::int64_t>(times->smoothed_us));
+  return std::max(microseconds(0), smoothed - handshake_.value());
 }
 
 }  // namespace lavendertack
--- a/Source/Forwarding/response_time_estimator.h
+++ b/Source/Forwarding/response_time_estimator.h
@@ -54,8 +54,13 @@
 
   // Median time from a request's arrival at a target of `service` to the start
   // of the response, including its time in the target's queue. Empty without
-  // samples of the service or of handshakes.
-  std::optional<microseconds> Estimate(const service_name& service) const;
+  // recent samples of the service or without samples of handshakes.
+  std::optional<microseconds> Estimate(instant now,
+                                       const service_name& service) const;
+  // The estimate as an average over a few seconds, which changes little while
+  // a report of it is under way.
+  std::optional<microseconds> SmoothedEstimate(
+      instant now, const service_name& service) const;
 
  private:
   struct timed_request {
@@ -65,9 +70,20 @@
     bool in_use = false;
   };
 
+  struct service_times {
+    median_estimator median;
+    double smoothed_us = 0;  // Average of the median.
+    instant last_sample;
+  };
+
+  void AddSample(instant now, microseconds elapsed,
+                 const service_name& service);
+  // The service's times if there is a recent sample, else null.
+  const service_times* Find(instant now, const service_name& service) const;
+
   std::vector<timed_request> timed_requests_;
   median_estimator handshake_;  // Network round trip.
-  std::unordered_map<service_name, median_estimator> by_service_;
+  std::unordered_map<service_name, service_times> by_service_;
 };
 
 }  // namespace lavendertack
--- a/Source/Runtime/fleet_process.cc
+++ b/Source/Runtime/fleet_process.cc
@@ -104,6 +104,9 @@
   } else if (const auto* refused = std::get_if<target_record_refused>(&event)) {
     log->Write("target_record_refused", {{"control", refused->from.value},
                                          {"target", refused->target.value}});
+  } else if (const auto* load = std::get_if<demand_record_refused>(&event)) {
+    log->Write("demand_record_refused", {{"control", load->from.value},
+                                         {"service", load->service.value}});
   }
 }
 
--- a/Source/Runtime/fleet_queries.cc
+++ b/Source/Runtime/fleet_queries.cc
@@ -1,5 +1,7 @@
 #include "Runtime/fleet_queries.h"
 
+#include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 #include "Common/exposition_writer.h"
@@ -46,6 +48,59 @@
   }
 }
 
+// Slots of the service's targets that accept new flows.
+double OpenSlots(instant now, const routing_state& state,
+                 const service_name& service) {
+  double slots = 0;
+  for (const known_target* target : state.targets.OfService(service)) {
+    if (target->AcceptsNewFlows(now) &&
+        !state.closed.contains(target->report.data_centre)) {
+      slots += std::max<std::uint32_t>(1, target->report.slots);
+    }
+  }
+  return slots;
+}
+
+// Pressure and admitted shares of the services with routes of different
+// priorities; nothing is refused at the others.
+void ExposeRefusals(const entry_query_view& view, exposition_writer* out) {
+  const routing_state& state = view.entry.follower().state();
+  const flow_router& router = view.entry.router();
+  std::map<service_name, slot_pressure> pressures;
+  for (const auto& [service, level] : router.refusal_levels()) {
+    pressures[service] =
+        router.Pressure(view.now, service, OpenSlots(view.now, state, service));
+  }
+  out->BeginFamily("service_pressure_percent", "gauge",
+                   "Requests in progress or queued for each 100 slots.");
+  for (const auto& [service, pressure] : pressures) {
+    out->AddSample(FormatLabel("service", service.value),
+                   static_cast<std::uint64_t>(pressure * 100));
+  }
+  out->BeginFamily("fleet_load_known", "gauge",
+                   "Whether the pressure is computed from valid reports of the "
+                   "fleet (1) or from this instance's own figures (0).");
+  for (const auto& [service, pressure] : pressures) {
+    const auto load = state.fleet.LoadOf(view.now, service);
+    out->AddSample(FormatLabel("service", service.value),
+                   load && load->response_time ? 1 : 0);
+  }
+  out->BeginFamily("admitted_share_percent", "gauge",
+                   "Share of new connections that isn't refused because of "
+                   "load, by service and priority.");
+  for (const auto& [service, level] : router.refusal_levels()) {
+    auto priorities = state.priorities.find(service);
+    if (priorities == state.priorities.end()) continue;
+    for (const std::uint32_t priority : priorities->second) {
+      const double share = AdmittedShare(pressures[service], level.value(),
+                                         priority, priorities->second);
+      out->AddSample(FormatLabel("service", service.value) + "," +
+                         FormatLabel("priority", std::to_string(priority)),
+                     static_cast<std::uint64_t>(std::lround(share * 100)));
+    }
+  }
+}
+
 void ExposeProcess(const event_log& log, const fleet_links& links,
                    exposition_writer* out) {
   out->AddSingleSample("peer_sent_bytes_total", "counter",
@@ -99,6 +154,10 @@
     out.AddSample(FormatLabel("service", service.value),
                   static_cast<std::uint64_t>(level.value() * 100));
   }
+  ExposeRefusals(view, &out);
+  out.AddSingleSample("demand_records_refused_total", "counter",
+                      "Reports of the demand with an invalid value.",
+                      follower.refused_demand_records());
   out.AddSingleSample("ready", "gauge",
                       "Whether the instance is ready to receive callers.",
                       view.entry.IsReady(view.now) ? 1 : 0);
@@ -157,6 +216,9 @@
                       control.published().published().version.value);
   out.AddSingleSample("followers", "gauge", "Instances that follow this one.",
                       control.follower_count());
+  out.AddSingleSample("demand_records_refused_total", "counter",
+                      "Reports of the demand with an invalid value.",
+                      control.refused_demand_records());
   ExposeFollower(view.now, control.peers(), &out);
   ExposeProcess(view.log, view.links, &out);
   return out.Text();
--- a/Source/UnitTests/Following/control_follower_test.cc
+++ b/Source/UnitTests/Following/control_follower_test.cc
@@ -272,6 +272,66 @@
                                                   first_control.Content());
     REQUIRE(update.message.update().demand_size() == 0);
   }
+  SECTION("a rate whose update was lost is sent again within 3 s") {
+    other.mutable_demand(0)->set_requests_per_s(80);
+    now += kInterval;
+    first_control.feed.HandleFollow(now, {"second"}, other,
+                                    first_control.Content());
+    // The answer to this request doesn't arrive.
+    first_control.feed.HandleFollow(now, kLink, {}, first_control.Content());
+    for (int i = 0; i < 5; ++i) {
+      now += kInterval;
+      ExchangeUpdate(&follower, &first_control, now);
+    }
+    REQUIRE(follower.state().demand.at({"catalogue"}).at({"b"}) == Approx(110));
+  }
+  SECTION("a control instance that restarts doesn't report zero demand") {
+    first_control.feed = follower_feed();
+    first_control.epoch = 8;
+    now += kInterval;
+    ExchangeUpdate(&follower, &first_control, now);
+    REQUIRE(follower.state().demand.at({"catalogue"}).at({"b"}) == Approx(60));
+    SECTION("nor the part that it has received so far") {
+      first_control.feed.HandleFollow(now, {"second"}, other,
+                                      first_control.Content());
+      now += kInterval;
+      ExchangeUpdate(&follower, &first_control, now);
+      REQUIRE(follower.state().demand.at({"catalogue"}).at({"b"}) ==
+              Approx(60));
+    }
+  }
+  SECTION("demand that has ended during a partition isn't confirmed by it") {
+    now += seconds(6);
+    first_control.feed.Push(now, first_control.Content(), false);
+    ExchangeUpdate(&follower, &first_control, now);
+    REQUIRE_FALSE(follower.state().fleet.LoadOf(now, {"catalogue"}));
+  }
+  SECTION("while no control instance is reachable") {
+    now += seconds(5);
+    follower.Tick(now);
+    SECTION("refusals don't use the last known demand") {
+      REQUIRE_FALSE(follower.state().fleet.LoadOf(now, {"catalogue"}));
+    }
+    SECTION("new flows are still split by it") {
+      REQUIRE(follower.state().demand.at({"catalogue"}).at({"b"}) ==
+              Approx(60));
+    }
+  }
+  SECTION("a record that isn't valid is counted and ignored at both ends") {
+    other.mutable_demand(0)->set_requests_per_s(-30);
+    first_control.feed.HandleFollow(now, {"fourth"}, other,
+                                    first_control.Content());
+    REQUIRE(first_control.feed.refused_demand_records() == 1);
+    wire::update update;
+    update.set_target_epoch(first_control.epoch);
+    *update.add_demand() = other.demand(0);
+    *update.add_demand() = other.demand(0);
+    const auto events = follower.Apply(now, kFirstControl, update);
+    REQUIRE(events.size() == 1);
+    REQUIRE(std::holds_alternative<demand_record_refused>(events.front()));
+    REQUIRE(follower.refused_demand_records() == 2);
+    REQUIRE(follower.state().demand.at({"catalogue"}).at({"b"}) == Approx(60));
+  }
 }
 
 // Loses requests and updates at random. After the last steps, in which nothing
--- a/Source/UnitTests/Forwarding/overload_test.cc
+++ b/Source/UnitTests/Forwarding/overload_test.cc
@@ -45,6 +45,13 @@
   }
 }
 
+TEST_CASE("the admitted share is 1 while slots are free") {
+  const std::set<std::uint32_t> priorities{0, 1};
+  REQUIRE(AdmittedShare(0.9, 0.4, 1, priorities) == 1);
+  REQUIRE(AdmittedShare(1.0, 0.4, 1, priorities) == Approx(0.6));
+  REQUIRE(AdmittedShare(9.0, 0.4, 0, priorities) == 1);
+}
+
 TEST_CASE("the refusal level follows the pressure") {
   refusal_level level;
   instant now{seconds(100)};
@@ -76,6 +83,27 @@
     now += seconds(60);
     REQUIRE(level.Update(now, 0.1, 2) == 0);
   }
+  SECTION("the first report of the fleet's level is adopted at once") {
+    level.Align(now, 1.4);
+    REQUIRE(level.value() == Approx(1.4));
+    SECTION("later ones within a few seconds") {
+      for (int i = 0; i < 40; ++i) {
+        now += milliseconds(250);
+        level.Align(now, 0.4);
+      }
+      REQUIRE(level.value() == Approx(0.4).margin(0.01));
+    }
+    SECTION("several at the same time count as one") {
+      now += milliseconds(200);
+      for (int i = 0; i < 6; ++i) level.Align(now, 0.4);
+      REQUIRE(level.value() == Approx(1.2));
+    }
+    SECTION("the level from before a pause is discarded") {
+      now += seconds(5);
+      level.Align(now, 0.4);
+      REQUIRE(level.value() == Approx(0.4));
+    }
+  }
 }
 
 }  // namespace
--- a/Source/UnitTests/Forwarding/response_time_estimator_test.cc
+++ b/Source/UnitTests/Forwarding/response_time_estimator_test.cc
@@ -29,31 +29,38 @@
   };
 
   SECTION("no estimate before the first response") {
-    REQUIRE_FALSE(estimator.Estimate(kService));
+    REQUIRE_FALSE(estimator.Estimate(now, kService));
   }
   SECTION("the network round trip is subtracted") {
     send_request(1, milliseconds(30), 20, 0);
-    REQUIRE(estimator.Estimate(kService) == milliseconds(22));
-    REQUIRE_FALSE(estimator.Estimate({"shelf"}));
+    REQUIRE(estimator.Estimate(now, kService) == milliseconds(22));
+    REQUIRE_FALSE(estimator.Estimate(now, {"shelf"}));
   }
   SECTION("a packet without a new acknowledgement isn't a response") {
     send_request(1, milliseconds(30), 10, 0);
-    REQUIRE_FALSE(estimator.Estimate(kService));
+    REQUIRE_FALSE(estimator.Estimate(now, kService));
     now += milliseconds(5);
     estimator.ObservePacket(now, Packet(1, 20, 0), kService);
-    REQUIRE(estimator.Estimate(kService) == milliseconds(27));
+    REQUIRE(estimator.Estimate(now, kService) == milliseconds(27));
   }
   SECTION(
       "the next request on a flow isn't a sample: it measures the caller's "
       "pause") {
     send_request(1, milliseconds(900), 20, 100);
-    REQUIRE_FALSE(estimator.Estimate(kService));
+    REQUIRE_FALSE(estimator.Estimate(now, kService));
+  }
+  SECTION("an estimate from before a pause of 5 s is discarded") {
+    send_request(1, milliseconds(90), 20, 0);
+    now += milliseconds(5001);
+    REQUIRE_FALSE(estimator.Estimate(now, kService));
+    send_request(2, milliseconds(30), 20, 0);
+    REQUIRE(estimator.Estimate(now, kService) == milliseconds(22));
   }
   SECTION("a few lost packets hardly change the estimate") {
     for (std::uint16_t i = 1; i <= 100; ++i) {
       send_request(i, milliseconds(i % 10 == 0 ? 430 : 30), 20, 0);
     }
-    REQUIRE(*estimator.Estimate(kService) < milliseconds(26));
+    REQUIRE(*estimator.Estimate(now, kService) < milliseconds(26));
   }
   SECTION("the estimate follows a slower target within 50 responses") {
     for (std::uint16_t i = 1; i <= 50; ++i) {
@@ -62,7 +69,7 @@
     for (std::uint16_t i = 51; i <= 100; ++i) {
       send_request(i, milliseconds(120), 20, 0);
     }
-    REQUIRE(*estimator.Estimate(kService) == milliseconds(112));
+    REQUIRE(*estimator.Estimate(now, kService) == milliseconds(112));
   }
 }
 
