Forwarding tests: the allocation counter replaces the nothrow operator new too

Under AddressSanitizer CallerSharesTest ended with alloc-dealloc-mismatch: memory of operator new(nothrow) was freed by the replaced operator delete.

--- a/Source/UnitTests/Forwarding/caller_shares_test.cc
+++ b/Source/UnitTests/Forwarding/caller_shares_test.cc
@@ -21,6 +21,11 @@
   if (void* memory = std::malloc(size)) return memory;
   throw std::bad_alloc();
 }
+[[gnu::noinline]] void* operator new(std::size_t size,
+                                     const std::nothrow_t&) noexcept {
+  ++allocations;
+  return std::malloc(size);
+}
 [[gnu::noinline]] void operator delete(void* memory) noexcept {
   std::free(memory);
 }
