Control: announce restarted instances, save the targets of all of them

After an outage of the whole fleet callers wait until an entry instance knows the state. Entry instances know only their seeds, which may start last (0.3 s on the platform), while another control instance with the whole state stands by unknown.

A control instance now saves the names of its entry instances (at most 4,096) and sends them a datagram after its start, every 25 ms for 1.5 s, at most 100 per tick, until they ask it. It also saves the targets that report to the others and sends them to a follower that knows none yet, so that the first known targets aren't only the few that report to itself. Such a report counts for 10 s or until any control instance has received a newer one; what another instance restored isn't saved; a withdrawal anywhere is saved within 0.2 s; a cold start that was saved lasts on after the restart (it used to be lost) and is saved again when it ends. Writes are limited to 1 MB/s.

--- a/Source/Control/control_instance.cc
+++ b/Source/Control/control_instance.cc
@@ -40,15 +40,6 @@
 // long to reach every follower, in addition to the cold start and one report
 // interval.
 constexpr milliseconds kReopenMargin{500};
-// Time after a restart in which restored targets must report again. Their calls
-// failed while this instance was down, and targets wait longer after each
-// failure.
-constexpr milliseconds kRestoredTargetGrace{10'000};
-// Minimum time between two writes of the saved targets.
-constexpr milliseconds kTargetSaveInterval{3000};
-// The same if a target has ended or drains: a process that is killed before the
-// write would restore it as ready.
-constexpr milliseconds kWithdrawalSaveInterval{200};
 // A longer gap between two ticks means that the process was suspended.
 constexpr milliseconds kSuspensionThreshold{500};
 
@@ -104,14 +95,19 @@
   published_.EndRestore(agreement_.chosen_index());
 }
 
-void control_instance::Restore(instant now,
-                               const wire::target_snapshot& saved) {
-  for (const wire::target_record& record : saved.targets()) {
-    if (auto report = DecodeTarget(record)) {
-      targets_.Restore(*report, now + kRestoredTargetGrace);
-    }
+std::size_t control_instance::Restore(instant now,
+                                      const wire::target_snapshot& saved) {
+  for (const std::string& name : saved.followers()) announcements_.Add({name});
+  return saved_targets_.Restore(now, saved, &targets_);
+}
+
+void control_instance::SendAnnouncements() {
+  for (const instance_name& name : announcements_.TakeDue(now_)) {
+    send_to_entry effect{name, {}};
+    effect.message.set_from(settings_.self.value);
+    effect.message.mutable_announcement();
+    effects_.emplace_back(std::move(effect));
   }
-  saved_revision_ = targets_.revision();
 }
 
 std::vector<control_effect> control_instance::Reduce(
@@ -202,7 +198,7 @@
   }
   if (result == report_result::kChanged &&
       event.report.phase != target_phase::kReady) {
-    has_unsaved_withdrawal_ = true;
+    saved_targets_.RecordWithdrawal();
     SaveTargets();
   }
   if (result != report_result::kUnchanged) {
@@ -216,7 +212,7 @@
     last = known->report;
   }
   targets_.MarkGone(now_, event.id, last);
-  has_unsaved_withdrawal_ = true;
+  saved_targets_.RecordWithdrawal();
   SaveTargets();
   target_report ended = last.value_or(target_report{.id = event.id});
   ended.phase = target_phase::kGone;
@@ -232,6 +228,7 @@
     ReduceAgreement(agreement_message_received{from, message.agreement()});
   } else if (message.has_follow()) {
     if (message.follow().control()) follower_.AddControlName(now_, from);
+    announcements_.RecordRequest(from);
     for (const wire::unanswered_record& row : message.follow().unanswered()) {
       if (row.packets() > 0) {
         targets_.RecordUnanswered({row.tag()}, row.packets());
@@ -250,6 +247,9 @@
   } else if (message.has_update()) {
     for (follower_event& log_event :
          follower_.Apply(now_, from, message.update())) {
+      if (const auto* change = std::get_if<target_change>(&log_event)) {
+        saved_targets_.RecordPeerChange(change->phase);
+      }
       effects_.emplace_back(std::move(log_event));
     }
   }
@@ -287,6 +287,7 @@
     PushUpdates(true);
   }
   PlanVoterChange();
+  SendAnnouncements();
   SaveTargets();
 }
 
@@ -341,19 +342,17 @@
 }
 
 void control_instance::SaveTargets() {
-  if (targets_.revision() == saved_revision_) return;
-  const milliseconds interval =
-      has_unsaved_withdrawal_ ? kWithdrawalSaveInterval : kTargetSaveInterval;
-  if (last_save_at_ && now_ - *last_save_at_ < interval) return;
-  last_save_at_ = now_;
-  has_unsaved_withdrawal_ = false;
-  saved_revision_ = targets_.revision();
-  save_targets save;
-  for (const auto& [id, target] : targets_.targets()) {
-    if (target.report.phase == target_phase::kSilent) continue;
-    *save.targets.add_targets() = EncodeTarget(now_, target);
+  if (feed_.entry_revision() != saved_entry_revision_) {
+    saved_entry_revision_ = feed_.entry_revision();
+    saved_targets_.RecordChange();
+  }
+  auto save = saved_targets_.TakeDue(now_, targets_, follower_.state().targets);
+  if (!save) return;
+  for (const instance_name& name : feed_.EntryInstances()) {
+    if (save->followers_size() == restart_announcements::kMaxFollowers) break;
+    save->add_followers(name.value);
   }
-  effects_.emplace_back(std::move(save));
+  effects_.emplace_back(save_targets{*std::move(save)});
 }
 
 void control_instance::Handle(const seeds_changed& event) {
@@ -476,10 +475,11 @@
       propose_entry{{++next_proposal_}, EncodeOrder(random_(), *change)});
 }
 
-feed_content control_instance::MakeFeedContent() const {
+feed_content control_instance::MakeFeedContent() {
   feed_content content{.self = settings_.self,
                        .published = published_,
                        .targets = targets_,
+                       .peer_targets = saved_targets_.PeerTargets(now_),
                        .target_epoch = target_epoch_,
                        .data_centre = settings_.data_centre,
                        .current = ReachesMajority(now_),
--- a/Source/Control/control_instance.h
+++ b/Source/Control/control_instance.h
@@ -20,6 +20,8 @@
 #include "Agreement/agreement.h"
 #include "Control/data_centre_closures.h"
 #include "Control/follower_feed.h"
+#include "Control/restart_announcements.h"
+#include "Control/saved_targets.h"
 #include "Control/voter_plan.h"
 #include "Following/control_follower.h"
 #include "Manifest/published_state.h"
@@ -134,8 +136,13 @@
   manifest_version version;
   std::set<data_centre_name> closed;  // Data centres that get no new flows.
 };
-// Saves the targets that report to this instance, for its next start. Without
-// the saved targets the next start only takes longer, so they needn't be synced
+// Sends a message to an entry instance that may not follow this instance yet.
+struct send_to_entry {
+  instance_name to;
+  wire::fleet_message message;
+};
+// Saves the known targets and followers for the next start of this instance.
+// Without them the next start only takes longer, so they needn't be synced
 // before other effects are applied.
 struct save_targets {
   wire::target_snapshot targets;
@@ -151,9 +158,9 @@
 using control_effect =
     std::variant<persist_record, rewrite_records, bootstrap_blocked,
                  round_abandoned, answer_operator, send_to_control,
-                 send_to_follower, target_report_evaluated, voters_planned,
-                 state_published, majority_changed, save_targets,
-                 target_weight_changed, follower_event>;
+                 send_to_follower, send_to_entry, target_report_evaluated,
+                 voters_planned, state_published, majority_changed,
+                 save_targets, target_weight_changed, follower_event>;
 
 // The reducer. Not thread-safe.
 class control_instance {
@@ -164,9 +171,9 @@
   // Restores the agreed log and the published state from the records of the log
   // file, in the order of writing. Call it before the first `Reduce`.
   void Restore(const std::vector<wire::stored_record>& records);
-  // Restores the targets that an earlier process saved. Records that can't be
-  // decoded are skipped.
-  void Restore(instant now, const wire::target_snapshot& saved);
+  // Restores the targets and followers that an earlier process saved. Records
+  // that can't be decoded are skipped; returns their number.
+  std::size_t Restore(instant now, const wire::target_snapshot& saved);
   // Handles one event and returns the effects, to be applied in order.
   std::vector<control_effect> Reduce(instant now, const control_event& event);
 
@@ -210,6 +217,8 @@
   // Sends updates to the followers with unsent changes, or with `to_all` to
   // every follower.
   void PushUpdates(bool to_all);
+  // Announces this instance to the entry instances that followed it before.
+  void SendAnnouncements();
   // Saves the targets if they have changed and the last write isn't too recent.
   void SaveTargets();
   // Compares the outcomes of the targets' requests if that is due, and applies
@@ -218,7 +227,7 @@
   // All targets that haven't ended, those of the other control instances
   // included.
   std::vector<evaluated_target> CollectTargets() const;
-  feed_content MakeFeedContent() const;
+  feed_content MakeFeedContent();
   // This control instance and all others that have sent an update and their log
   // position.
   std::vector<control_peer> CollectPeers() const;
@@ -228,6 +237,8 @@
   published_state published_;
   agreement agreement_;
   target_registry targets_;
+  saved_targets saved_targets_;
+  restart_announcements announcements_;
   target_performance performance_;
   control_follower follower_;
   follower_feed feed_;
@@ -241,11 +252,9 @@
   std::optional<instant> started_at_;
   std::optional<instant> last_plan_at_;
   std::optional<instant> last_tick_at_;
-  std::optional<instant> last_save_at_;
-  // A target has ended or begun to drain since the last write.
-  bool has_unsaved_withdrawal_ = false;
-  // Revisions of `targets_` that were last saved and last pushed.
-  std::uint64_t saved_revision_ = 0;
+  // Revision of the entry instances in `feed_` that was last saved.
+  std::uint64_t saved_entry_revision_ = 0;
+  // Revision of `targets_` that was last pushed.
   std::uint64_t pushed_revision_ = 0;
   // Log entries of the published state that was last pushed and last handled by
   // `HandlePublishedChange`.
--- a/Source/Control/follower_feed.cc
+++ b/Source/Control/follower_feed.cc
@@ -119,6 +119,14 @@
   }
 }
 
+std::set<instance_name> follower_feed::EntryInstances() const {
+  std::set<instance_name> names;
+  for (const auto& [link, follower] : followers_) {
+    if (!follower.control) names.insert(follower.name);
+  }
+  return names;
+}
+
 feed_update follower_feed::HandleFollow(instant now, const link_id& from,
                                         const wire::follow& request,
                                         const feed_content& content) {
@@ -126,6 +134,10 @@
   follower_state& follower = it->second;
   follower.last_request_at = now;
   follower.control = request.control();
+  if (added) {
+    follower.name = {request.name()};
+    if (!follower.control) ++entry_revision_;
+  }
   // A revision of another run of this instance doesn't count: the follower has
   // none of the changes of this run.
   const std::uint64_t acknowledged_targets =
@@ -148,6 +160,12 @@
     follower.targets.Acknowledge(now, acknowledged_targets, kResendAfter);
   }
   feed_update reply = MakeUpdate(now, from, &follower, content);
+  if (request.wants_peer_targets()) {
+    for (const registered_target& target : content.peer_targets) {
+      *reply.message.mutable_update()->add_peer_targets() =
+          EncodeTarget(now, target);
+    }
+  }
   if (!follower.control) AddDemand(&follower, reply.message.mutable_update());
   return reply;
 }
@@ -160,6 +178,7 @@
     follower_state& follower = it->second;
     if (now - follower.last_request_at >= kFollowerTimeout) {
       RemoveDemand(&follower);
+      if (!follower.control) ++entry_revision_;
       it = followers_.erase(it);
       continue;
     }
--- a/Source/Control/follower_feed.h
+++ b/Source/Control/follower_feed.h
@@ -34,6 +34,8 @@
   const instance_name& self;
   const published_state& published;
   const target_registry& targets;
+  // Targets of other control instances, from before the start of this one.
+  const std::vector<registered_target>& peer_targets;
   std::uint64_t target_epoch;  // Different in each run of the instance.
   const data_centre_name& data_centre;
   bool current;  // In contact with a majority of the voters.
@@ -55,9 +57,14 @@
 
   // Number of followers.
   std::size_t size() const { return followers_.size(); }
+  // The followers that are entry instances.
+  std::set<instance_name> EntryInstances() const;
+  // Changes whenever EntryInstances() may have changed.
+  std::uint64_t entry_revision() const { return entry_revision_; }
 
  private:
   struct follower_state {
+    instance_name name;
     bool control = false;  // The follower is a control instance itself.
     data_centre_name data_centre;
     std::map<service_name, double> demand;  // Requests per second.
@@ -87,6 +94,7 @@
                          follower_state* follower, const feed_content& content);
 
   std::map<link_id, follower_state> followers_;
+  std::uint64_t entry_revision_ = 0;
   // Sums of the demand over all followers, in requests per second.
   std::map<std::pair<service_name, data_centre_name>, double> demand_;
 };
--- a/Source/Entry/entry_instance.h
+++ b/Source/Entry/entry_instance.h
@@ -50,6 +50,11 @@
   // events for the log.
   std::vector<follower_event> Receive(instant now,
                                       const wire::fleet_message& message);
+  // Handles the announcement of a control instance that has started; returns
+  // whether a request to it is due.
+  bool ReceiveAnnouncement(instant now, const wire::fleet_message& message) {
+    return follower_.HandleAnnouncement(now, {message.from()});
+  }
   // The last packet of each recent flow whose target was found to be lost since
   // the last call. The callers should get a reset.
   std::vector<flow_packet> TakeLostFlows() {
--- a/Source/Following/control_follower.cc
+++ b/Source/Following/control_follower.cc
@@ -66,6 +66,15 @@
   controls_[control].last_listed = now;
 }
 
+bool control_follower::HandleAnnouncement(instant now,
+                                          const instance_name& control) {
+  AddControlName(now, control);
+  auto it = controls_.find(control);
+  if (it == controls_.end() || IsReachable(now, control)) return false;
+  it->second.last_request.reset();
+  return true;
+}
+
 std::set<instance_name> control_follower::ControlNames() const {
   std::set<instance_name> names;
   for (const auto& [name, control] : controls_) names.insert(name);
@@ -200,16 +209,11 @@
     control.target_revision = 0;
   }
   if (update.targets_from() > control.target_revision) return;
+  for (const wire::target_record& record : update.peer_targets()) {
+    ApplyTarget(now, from, record, events);
+  }
   for (const wire::target_record& record : update.targets()) {
-    auto report = DecodeTarget(record);
-    if (!report) {
-      events->emplace_back(target_record_refused{from, {record.id()}});
-      continue;
-    }
-    LimitRestoredReport(now, &*report);
-    if (auto change = state_.targets.Apply(now, from, *report)) {
-      events->emplace_back(*std::move(change));
-    }
+    ApplyTarget(now, from, record, events);
   }
   control.target_revision =
       std::max<std::uint64_t>(control.target_revision, update.targets_to());
@@ -217,6 +221,20 @@
   if (!first_sync_at_) first_sync_at_ = now;
 }
 
+void control_follower::ApplyTarget(instant now, const instance_name& from,
+                                   const wire::target_record& record,
+                                   std::vector<follower_event>* events) {
+  auto report = DecodeTarget(record);
+  if (!report) {
+    events->emplace_back(target_record_refused{from, {record.id()}});
+    return;
+  }
+  LimitRestoredReport(now, &*report);
+  if (auto change = state_.targets.Apply(now, from, *report)) {
+    events->emplace_back(*std::move(change));
+  }
+}
+
 void control_follower::LimitRestoredReport(instant now,
                                            target_report* report) const {
   if (!report->restored || report->phase != target_phase::kReady) return;
@@ -251,6 +269,7 @@
     follow->set_control(settings_.is_control);
     follow->set_applied(applied_.value);
     follow->set_without_state(name != *state_source_);
+    follow->set_wants_peer_targets(!settings_.is_control && !first_sync_at_);
     follow->set_target_epoch(control.target_epoch);
     follow->set_target_revision(control.target_revision);
     for (const auto& [service, rate] : demand) {
--- a/Source/Following/control_follower.h
+++ b/Source/Following/control_follower.h
@@ -108,6 +108,9 @@
   // Adds a control instance that was listed or that sent a request to this one.
   // A new one is ignored at the maximum number of followed control instances.
   void AddControlName(instant now, const instance_name& control);
+  // Handles the announcement of a control instance that has started: unless it
+  // is reachable already, a request to it becomes due. Returns whether it does.
+  bool HandleAnnouncement(instant now, const instance_name& control);
   // Applies the update of a control instance and returns events for the log.
   std::vector<follower_event> Apply(instant now, const instance_name& from,
                                     const wire::update& update);
@@ -158,6 +161,9 @@
   void ApplyTargets(instant now, const instance_name& from,
                     const wire::update& update,
                     std::vector<follower_event>* events);
+  void ApplyTarget(instant now, const instance_name& from,
+                   const wire::target_record& record,
+                   std::vector<follower_event>* events);
   // A control instance that was down for long has saved reports of targets that
   // may have left since. A target that is unknown here, although this instance
   // has followed the others for kReportRetention, gets no new flows until it
--- a/Source/Runtime/control_loop.cc
+++ b/Source/Runtime/control_loop.cc
@@ -11,6 +11,7 @@
 #include <zmq.hpp>
 
 #include "Control/control_instance.h"
+#include "Runtime/announcement_socket.h"
 #include "Runtime/fleet_links.h"
 #include "Runtime/fleet_queries.h"
 #include "Runtime/http_server.h"
@@ -86,6 +87,9 @@
     // Opening the log replaces the file, so that process would lose records.
     links_.Listen(settings_.self);
     if (auto error = OpenRecordLog()) return error;
+    if (auto reason = announcements_.Open({settings_.self, {}})) {
+      log_.Write("announcements_not_sent", {{"reason", *reason}});
+    }
     call_server_ = std::make_unique<http_server>(
         endpoint{ToString(role_.calls.ip), role_.calls.port.value},
         http_limits{.body_bytes = adapter_.calls.max_body_bytes,
@@ -187,11 +191,14 @@
     }
     for (const std::string& bytes : std::get<opened_log>(opened).records) {
       wire::target_snapshot saved;
-      if (saved.ParseFromString(bytes)) {
-        control_->Restore(Now(), saved);
-      } else {
+      if (!saved.ParseFromString(bytes)) {
         log_.Write("targets_not_restored",
                    {{"file", TargetsPath()}, {"reason", "unreadable record"}});
+      } else if (const auto skipped = control_->Restore(Now(), saved)) {
+        log_.Write("targets_not_restored",
+                   {{"file", TargetsPath()},
+                    {"reason", "invalid targets in a record"},
+                    {"targets", static_cast<std::int64_t>(skipped)}});
       }
     }
   }
@@ -345,6 +352,9 @@
   void Apply(const send_to_follower& effect) {
     if (!IsDiskFailurePending()) links_.Reply(effect.to, effect.message);
   }
+  void Apply(const send_to_entry& effect) {
+    announcements_.Send(effect.to, settings_.peer_port, effect.message);
+  }
   void Apply(const target_report_evaluated& effect) {
     const target_report& report = effect.report;
     ++counts_.reports[report.phase];
@@ -449,6 +459,7 @@
   request_queue call_queue_;
   zmq::context_t context_;
   fleet_links links_;
+  announcement_socket announcements_;
   record_log records_;
   record_log saved_targets_;
   std::unique_ptr<control_instance> control_;
--- a/Source/Runtime/entry_loop.cc
+++ b/Source/Runtime/entry_loop.cc
@@ -8,6 +8,7 @@
 #include <zmq.hpp>
 
 #include "Entry/entry_instance.h"
+#include "Runtime/announcement_socket.h"
 #include "Runtime/caller_reports.h"
 #include "Runtime/fleet_links.h"
 #include "Runtime/fleet_queries.h"
@@ -71,6 +72,11 @@
     if (auto reason = packet_socket_.Open(addresses.packets)) {
       return fleet_error{ToString(addresses.packets) + ": " + *reason};
     }
+    // Without announcements, control instances are found through the seeds.
+    if (auto reason =
+            announcements_.Open({settings_.self, settings_.peer_port})) {
+      log_.Write("announcements_not_received", {{"reason", *reason}});
+    }
     readiness_server_ = std::make_unique<http_server>(
         ToEndpoint(addresses.readiness),
         http_limits{.body_bytes = kMaxReadinessBodyBytes,
@@ -93,7 +99,9 @@
   void Run() {
     next_tick_ = Now();
     while (!entry_.CanExit(Now())) {
-      links_.Wait({packet_socket_.file(), queries_.file()}, next_tick_);
+      links_.Wait(
+          {packet_socket_.file(), queries_.file(), announcements_.file()},
+          next_tick_);
       bool more = true;
       for (int i = 0; more && i < kBatchesPerIteration; ++i) {
         more = packet_socket_.Receive(
@@ -104,6 +112,9 @@
           LogFollowerEvent(&log_, event);
         }
       });
+      announcements_.Receive([this](const wire::fleet_message& message) {
+        if (entry_.ReceiveAnnouncement(Now(), message)) next_tick_ = Now();
+      });
       HandleHeldPackets();
       ResetLostFlows();
       queries_.AnswerAll([this](const std::string& path) {
@@ -301,6 +312,7 @@
   zmq::context_t context_;
   entry_instance entry_;
   fleet_links links_;
+  announcement_socket announcements_;
   packet_socket packet_socket_;
   port_number callers_port_;
   std::atomic<bool> ready_{false};
--- a/Source/Runtime/packet_socket.cc
+++ b/Source/Runtime/packet_socket.cc
@@ -6,6 +6,8 @@
 #include <cerrno>
 #include <cstring>
 
+#include "Runtime/socket_address.h"
+
 namespace lavendertack {
 namespace {
 
@@ -13,14 +15,6 @@
 // packets of a busy instance.
 constexpr int kSocketBufferBytes = 2 << 20;
 
-sockaddr_in ToSockaddr(const ipv4_endpoint& endpoint) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(endpoint.ip.value);
-  address.sin_port = htons(endpoint.port.value);
-  return address;
-}
-
 }  // namespace
 
 packet_socket::packet_socket(std::size_t max_packet_bytes)
--- a/Source/Targets/target_registry.cc
+++ b/Source/Targets/target_registry.cc
@@ -75,13 +75,14 @@
   return report_result::kChanged;
 }
 
-void target_registry::Restore(const target_report& report,
+void target_registry::Restore(instant now, const target_report& report,
                               instant silent_from) {
   auto [it, added] = FindOrAdd(report.id);
   if (!added) return;
   it->second.report = report;
   it->second.report.restored = true;
   it->second.report.weight = kFullWeight;
+  it->second.cold_until = now + report.cold_left;
   it->second.last_report = silent_from - settings_.silent_after;
   RecordChange(&it->second);
 }
--- a/Source/Targets/target_registry.h
+++ b/Source/Targets/target_registry.h
@@ -65,9 +65,10 @@
   // Processes a report that was received from a target.
   report_result Report(instant now, const target_report& report);
   // Restores a report that an earlier process of this instance saved. The
-  // target becomes silent if it doesn't report before `silent_from`. The call
-  // is ignored if the target is already registered.
-  void Restore(const target_report& report, instant silent_from);
+  // target becomes silent if it doesn't report before `silent_from`. A cold
+  // start counts as lasting as long as it did when the report was saved. The
+  // call is ignored if the target is already registered.
+  void Restore(instant now, const target_report& report, instant silent_from);
   // Sets the target's phase to kGone. `last` is its newest report to other
   // control instances, if any; it replaces the registered report if it is
   // newer. The call is ignored if the target isn't registered and `last` is
--- a/Source/Targets/target_view.cc
+++ b/Source/Targets/target_view.cc
@@ -5,6 +5,13 @@
 #include "Common/hash.h"
 
 namespace lavendertack {
+namespace {
+
+// Targets report again within this time after a restart of their control
+// instance.
+constexpr milliseconds kRestoredReportLifetime{10'000};
+
+}  // namespace
 
 target_tag TagOf(const target_id& id) {
   const std::uint64_t hash = StableHash(id.value);
@@ -64,7 +71,8 @@
 }
 
 // A saved report doesn't show that the target is alive, so it counts only until
-// a control instance has received one from the target itself.
+// a control instance has received one from the target itself, and for a limited
+// time.
 void target_view::AddSource(instant now, const report_source& source,
                             bool restored, known_target* target) {
   if (restored) {
@@ -82,7 +90,8 @@
     }
     target->restored_by.clear();
   }
-  target->reported_by[source] = instant::max();
+  target->reported_by[source] =
+      restored ? now + kRestoredReportLifetime : instant::max();
 }
 
 std::optional<target_change> target_view::Apply(instant now,
--- a/Source/UnitTests/Control/control_instance_test.cc
+++ b/Source/UnitTests/Control/control_instance_test.cc
@@ -26,6 +26,19 @@
       }
     }
   }
+  // Entry instances to which a process that starts with the saved file
+  // announces itself.
+  std::vector<instance_name> AnnouncedAfterRestart() const {
+    control_instance restarted = MakeControl();
+    restarted.Restore(now, saved_);
+    std::vector<instance_name> announced;
+    for (const control_effect& effect : restarted.Reduce(now, control_tick{})) {
+      if (const auto* send = std::get_if<send_to_entry>(&effect)) {
+        announced.push_back(send->to);
+      }
+    }
+    return announced;
+  }
   // Ticks while the target reports at its interval.
   void RunFor(milliseconds time) {
     for (const instant end = now + time; now < end; now += kTick) {
@@ -102,6 +115,18 @@
   }
 }
 
+TEST_CASE("a restarted control instance knows its entry instances") {
+  control_with_target setup;
+  REQUIRE(setup.AnnouncedAfterRestart().empty());
+  wire::fleet_message request;
+  request.set_from("10.9.0.1");
+  request.mutable_follow()->set_name("10.9.0.1");
+  setup.Reduce(control_message_received{{"link"}, request});
+  setup.RunFor(milliseconds(100));
+  REQUIRE(setup.AnnouncedAfterRestart() ==
+          std::vector<instance_name>{{"10.9.0.1"}});
+}
+
 // A paused process receives no reports. It used to report all its targets as
 // silent when it resumed, before it had read the reports that were waiting.
 TEST_CASE("targets aren't silent because the control instance was paused") {
--- a/Source/UnitTests/Following/control_follower_test.cc
+++ b/Source/UnitTests/Following/control_follower_test.cc
@@ -47,11 +47,13 @@
   std::uint64_t epoch = 7;
   data_centre_name data_centre{"a"};
   std::set<data_centre_name> closed;
+  std::vector<registered_target> peer_targets;
 
   feed_content Content() const {
     return {.self = name,
             .published = published,
             .targets = registry,
+            .peer_targets = peer_targets,
             .target_epoch = epoch,
             .data_centre = data_centre,
             .current = true,
@@ -237,7 +239,7 @@
   SECTION("a saved report of an unknown target") {
     target_report saved = Report(2, 5, target_phase::kReady);
     const auto restart_with_saved_report = [&] {
-      second_control.registry.Restore(saved, now + seconds(10));
+      second_control.registry.Restore(now, saved, now + seconds(10));
       now += kInterval;
       ExchangeUpdate(&follower, &second_control, now);
     };
@@ -283,6 +285,87 @@
   }
 }
 
+// After an outage of the whole fleet, the callers that wait would all go to the
+// few targets that report to the control instance that answers first.
+TEST_CASE("the first control instance also sends the targets of the others") {
+  control_follower follower = MakeFollower();
+  control_sender first_control{.name = kFirstControl};
+  control_sender second_control{.name = kSecondControl};
+  instant now{seconds(100)};
+  target_report saved = Report(2, 5, target_phase::kReady);
+  saved.restored = true;
+  first_control.Publish(2, 5);
+  first_control.registry.Report(now, Report(1, 1, target_phase::kReady));
+  first_control.peer_targets = {{.report = saved}};
+  ExchangeUpdate(&follower, &first_control, now);
+  const auto find = [&] { return follower.state().targets.Find(saved.id); };
+  REQUIRE(follower.state().targets.size() == 2);
+  REQUIRE(find()->AcceptsNewFlows(now));
+  REQUIRE(find()->IsReporting(now));
+
+  SECTION("for a limited time, unless they report") {
+    REQUIRE_FALSE(find()->IsReporting(now + seconds(10)));
+    second_control.registry.Report(now, Report(2, 6, target_phase::kReady));
+    now += kInterval;
+    ExchangeUpdate(&follower, &second_control, now);
+    REQUIRE(find()->IsReporting(now + seconds(10)));
+  }
+  SECTION("their own control instance knows better that one has left") {
+    second_control.registry.Report(now, Report(2, 6, target_phase::kDraining));
+    now += kInterval;
+    ExchangeUpdate(&follower, &second_control, now);
+    REQUIRE_FALSE(find()->AcceptsNewFlows(now));
+    ExchangeUpdate(&follower, &first_control, now + kInterval);
+    REQUIRE_FALSE(find()->AcceptsNewFlows(now));
+  }
+  SECTION("one whose address is in use by another target gets nothing") {
+    target_report successor = Report(3, 1, target_phase::kReady);
+    successor.version.started_ms = 2000;
+    successor.address = saved.address;
+    second_control.registry.Report(now, successor);
+    now += kInterval;
+    ExchangeUpdate(&follower, &second_control, now);
+    REQUIRE(find()->replaced);
+  }
+  SECTION("once") {
+    for (follow_request& request : follower.Requests(now + kInterval, {})) {
+      REQUIRE_FALSE(request.message.follow().wants_peer_targets());
+    }
+  }
+}
+
+TEST_CASE("a control instance that isn't a seed announces itself") {
+  control_follower follower = MakeFollower();
+  const instance_name other{"10.0.0.3"};
+  const instant now{seconds(100)};
+  const auto is_asked = [&](instant at) {
+    const auto requests = follower.Requests(at, {});
+    return std::any_of(
+        requests.begin(), requests.end(),
+        [&](const auto& request) { return request.to == other; });
+  };
+  REQUIRE_FALSE(is_asked(now));
+  REQUIRE(follower.HandleAnnouncement(now, other));
+  REQUIRE(is_asked(now));
+
+  SECTION("again, if the request was lost") {
+    REQUIRE(follower.HandleAnnouncement(now, other));
+    REQUIRE(is_asked(now));
+  }
+  SECTION("which changes nothing once it has answered") {
+    wire::update update;
+    follower.Apply(now, other, update);
+    REQUIRE_FALSE(follower.HandleAnnouncement(now, other));
+    REQUIRE_FALSE(is_asked(now));
+  }
+  SECTION("forged names don't grow the table without bound") {
+    for (int i = 0; i < 1000; ++i) {
+      follower.HandleAnnouncement(now, {std::to_string(i)});
+    }
+    REQUIRE(follower.controls().size() <= 16);
+  }
+}
+
 TEST_CASE("callers' demand is summed by data centre") {
   control_sender first_control{.name = kFirstControl};
   control_follower follower = MakeFollower();
--- a/Source/UnitTests/Targets/target_registry_test.cc
+++ b/Source/UnitTests/Targets/target_registry_test.cc
@@ -121,17 +121,27 @@
   }
   SECTION("a restored target has longer to report") {
     target_registry restarted({kSilentAfter, kForgetAfter});
-    restarted.Restore(Report(4), start + seconds(10));
+    restarted.Restore(start, Report(4), start + seconds(10));
     REQUIRE(restarted.Tick(start + seconds(9)).empty());
     REQUIRE(restarted.Tick(start + seconds(10)).size() == 1);
 
     SECTION("and a newer report takes precedence over a restored one") {
       restarted.Report(start, Report(5, target_phase::kDraining));
-      restarted.Restore(Report(4), start + seconds(10));
+      restarted.Restore(start, Report(4), start + seconds(10));
       REQUIRE(restarted.targets().at({"i-7f"}).report.phase ==
               target_phase::kDraining);
     }
   }
+  // A target that was saved as cold used to count as warm after a restart of
+  // its control instance.
+  SECTION("a restored target that was cold stays cold") {
+    target_registry restarted({kSilentAfter, kForgetAfter});
+    target_report cold = Report(4);
+    cold.cold_left = milliseconds(1500);
+    restarted.Restore(start, cold, start + seconds(10));
+    REQUIRE(restarted.targets().at({"i-7f"}).cold_until ==
+            start + milliseconds(1500));
+  }
   SECTION("changes are returned by revision, each target once") {
     registry.Report(start, Report(2, target_phase::kDraining));
     target_report other_target = Report(1);
