Forwarding: limit the highest priority by its own load, and requests on open connections by the link

Full targets refused them, each refused request had used the link and was sent again on it, and packets of open connections passed the link budget always. Nearly nothing was served until the load had ended.

- A service's highest priority gets a refusal level by the pressure of its own requests alone, setpoint 3, only while all lower priorities are refused.
Its callers are tracked from then on, for fair shares.
- A request on an open connection that doesn't fit the link is dropped; retransmitted ones yield to first ones.
- Resets go to the highest priority first (half of their bucket for the lowest one).

--- a/Source/Forwarding/flow_router.cc
+++ b/Source/Forwarding/flow_router.cc
@@ -10,6 +10,9 @@
 // Maximum number of tracked opening packets. At 1,000 new flows per second this
 // covers more than the time in which callers retransmit them.
 constexpr std::size_t kMaxAttempts = 16'384;
+// Maximum number of requests that wait for room on the link: several times what
+// a link of 5 Mbit/s carries within the 1.4 s in which callers retransmit them.
+constexpr std::size_t kMaxRequestsForLink = 8192;
 // Callers abandon an attempt after 1.4 s.
 constexpr milliseconds kAttemptLifetime{1500};
 // Packets are still forwarded to a target that has announced its end for this
@@ -88,8 +91,10 @@
       random_(seed),
       demand_(kDemandWindow),
       recent_demand_(kRecentDemandWindow),
+      recent_highest_demand_(kRecentDemandWindow),
       link_(link_capacity),
-      attempts_(kMaxAttempts) {
+      attempts_(kMaxAttempts),
+      requests_for_link_(kMaxRequestsForLink) {
   target_selector_ =
       [this](instant now, const std::vector<const known_target*>& candidates) {
         return SelectLessLoaded(now, candidates);
@@ -101,8 +106,9 @@
   return packet.opens ? PlaceFlow(now, packet) : ForwardFollowing(now, packet);
 }
 
-forward_decision flow_router::Refuse(instant now, const reset_caller& reset) {
-  if (link_.TakeReset(now)) return reset;
+forward_decision flow_router::Refuse(instant now, std::uint32_t priority,
+                                     const reset_caller& reset) {
+  if (link_.TakeReset(now, priority)) return reset;
   return drop_packet{reset.reason};
 }
 
@@ -115,9 +121,9 @@
   // An earlier connection from the same port has ended. If its target is lost,
   // the new connection must not be reset.
   flows_.Remove(packet.flow);
-  if (!link_.CanOpen(now, found_route->second.priority,
-                     packet.retransmission > 0)) {
-    return Refuse(now, {forward_reason::kLinkFull});
+  const std::uint32_t priority = found_route->second.priority;
+  if (!link_.CanOpen(now, priority, packet.retransmission > 0)) {
+    return Refuse(now, priority, {forward_reason::kLinkFull});
   }
   target_tag unanswered;
   service_name service;
@@ -139,9 +145,8 @@
   if (!is_allowed) service = PickService(found_route->second);
   FindCandidates(now, service, unanswered);
   if (candidates_.empty()) return reset_caller{forward_reason::kNoTarget};
-  if (auto pressure =
-          CheckOverload(now, service, found_route->second.priority, packet)) {
-    return Refuse(now, {forward_reason::kOverloaded, *pressure});
+  if (auto pressure = CheckOverload(now, service, priority, packet)) {
+    return Refuse(now, priority, {forward_reason::kOverloaded, *pressure});
   }
   SelectDataCentre(service);
   const known_target* target = target_selector_(now, candidates_);
@@ -156,10 +161,15 @@
 
 forward_decision flow_router::ForwardFollowing(instant now,
                                                const flow_packet& packet) {
-  if (!state_->routes.contains(packet.flow.route)) {
+  const auto found_route = state_->routes.find(packet.flow.route);
+  if (found_route == state_->routes.end()) {
     return reset_caller{forward_reason::kNoRoute};
   }
+  const std::uint32_t priority = found_route->second.priority;
   if (packet.tag.value == 0) return drop_packet{forward_reason::kNoTag};
+  if (packet.data_bytes > 0 && !FitsLink(now, packet, priority)) {
+    return drop_packet{forward_reason::kLinkFull};
+  }
   link_.RecordFollowing(now, packet.datagram_bytes);
   const known_target* target = state_->targets.FindByTag(packet.tag);
   if (auto attempt = attempts_.Remove(packet.flow)) {
@@ -199,12 +209,19 @@
   }
   if (packet.data_bytes > 0) {
     load_.RecordRequest(now, packet.tag);
-    demand_.Observe(now, target->report.service);
-    recent_demand_.Observe(now, target->report.service);
+    ObserveDemand(now, target->report.service, priority);
   }
   return forward_to_target{target, forward_reason::kFollows};
 }
 
+bool flow_router::FitsLink(instant now, const flow_packet& packet,
+                           std::uint32_t priority) {
+  if (link_.CanSendRequest(now, priority, true)) return true;
+  const bool is_retransmitted = requests_for_link_.Observe(now, packet) ==
+                                request_progress::kRetransmitted;
+  return !is_retransmitted && link_.CanSendRequest(now, priority, false);
+}
+
 void flow_router::ObserveProgress(instant now, const flow_packet& packet) {
   switch (requests_.Observe(now, packet)) {
     case request_progress::kRetransmitted:
@@ -299,25 +316,59 @@
 std::optional<slot_pressure> flow_router::CheckOverload(
     instant now, const service_name& service, std::uint32_t priority,
     const flow_packet& packet) {
-  auto it = state_->priorities.find(service);
-  if (it == state_->priorities.end() || it->second.size() < 2) {
-    return std::nullopt;
-  }
+  const auto it = state_->priorities.find(service);
+  if (it == state_->priorities.end() || it->second.empty()) return std::nullopt;
   const slot_pressure pressure = Pressure(now, service, open_slots_);
-  const double level =
-      refusal_levels_[service].Update(now, pressure, it->second.size() - 1);
-  // The highest priority is never refused.
-  if (priority <= *it->second.begin()) return std::nullopt;
-  // With free slots nothing is refused, even if the level hasn't dropped to 0
-  // yet.
   const double share =
-      pressure < 1 ? 0 : refusal_policy_(level, priority, it->second);
-  if (!CallersOf({service, priority}).Refuses(now, packet, share)) {
-    return std::nullopt;
-  }
+      ShareToRefuse(now, service, priority, pressure, it->second);
+  // Callers of the highest priority aren't tracked before any is refused.
+  const refusal_class of{service, priority};
+  const bool is_highest = priority <= *it->second.begin();
+  if (is_highest && share == 0 && !callers_.contains(of)) return std::nullopt;
+  if (!CallersOf(of).Refuses(now, packet, share)) return std::nullopt;
   return pressure;
 }
 
+double flow_router::ShareToRefuse(instant now, const service_name& service,
+                                  std::uint32_t priority,
+                                  slot_pressure pressure,
+                                  const std::set<std::uint32_t>& priorities) {
+  const std::size_t lower_priorities = priorities.size() - 1;
+  const double level =
+      lower_priorities == 0
+          ? 0
+          : refusal_levels_[service].Update(now, pressure, lower_priorities);
+  if (priority > *priorities.begin()) {
+    // With free slots nothing is refused, even if the level hasn't dropped to 0
+    // yet.
+    return pressure < 1 ? 0 : refusal_policy_(level, priority, priorities);
+  }
+  const slot_pressure highest = HighestPriorityPressure(now, service, pressure);
+  const double highest_level =
+      highest_refusal_levels_.try_emplace(service, kHighestPrioritySetpoint)
+          .first->second.Update(now, highest, 1);
+  const bool are_lower_refused = level >= static_cast<double>(lower_priorities);
+  return are_lower_refused && highest >= 1 ? highest_level : 0;
+}
+
+slot_pressure flow_router::HighestPriorityPressure(
+    instant now, const service_name& service, slot_pressure pressure) const {
+  const requests_per_s demand = recent_demand_.Rate(now, service);
+  if (demand < kMinDemand) return 0;
+  return pressure *
+         std::min(1.0, recent_highest_demand_.Rate(now, service) / demand);
+}
+
+void flow_router::ObserveDemand(instant now, const service_name& service,
+                                std::uint32_t priority) {
+  demand_.Observe(now, service);
+  recent_demand_.Observe(now, service);
+  const auto it = state_->priorities.find(service);
+  if (it != state_->priorities.end() && priority <= *it->second.begin()) {
+    recent_highest_demand_.Observe(now, service);
+  }
+}
+
 caller_shares& flow_router::CallersOf(const refusal_class& of) {
   auto it = callers_.find(of);
   if (it != callers_.end()) return it->second;
@@ -378,9 +429,11 @@
                    });
   load_.EraseIdle(now);
   link_.Tick(now);
-  std::erase_if(refusal_levels_, [this](const auto& entry) {
-    return !state_->priorities.contains(entry.first);
-  });
+  for (auto* levels : {&refusal_levels_, &highest_refusal_levels_}) {
+    std::erase_if(*levels, [this](const auto& entry) {
+      return !state_->priorities.contains(entry.first);
+    });
+  }
   std::erase_if(callers_, [this](const auto& entry) {
     auto it = state_->priorities.find(entry.first.service);
     return it == state_->priorities.end() ||
--- a/Source/Forwarding/flow_router.h
+++ b/Source/Forwarding/flow_router.h
@@ -100,6 +100,11 @@
       const {
     return refusal_levels_;
   }
+  // The same for the highest priority of each service.
+  const std::unordered_map<service_name, refusal_level>&
+  highest_refusal_levels() const {
+    return highest_refusal_levels_;
+  }
   // Callers' shares of the new connections that may be refused.
   const std::map<refusal_class, caller_shares>& callers() const {
     return callers_;
@@ -133,11 +138,14 @@
  private:
   // Resets the caller of a new connection, or drops the packet if there is no
   // room for the reset on the link: it would arrive too late.
-  forward_decision Refuse(instant now, const reset_caller& reset);
+  forward_decision Refuse(instant now, std::uint32_t priority,
+                          const reset_caller& reset);
   // Selects a target for an opening packet, or refuses it.
   forward_decision PlaceFlow(instant now, const flow_packet& packet);
   // Forwards a packet of an open connection to the target of its tag.
   forward_decision ForwardFollowing(instant now, const flow_packet& packet);
+  // Whether a packet with data of an open connection fits the link.
+  bool FitsLink(instant now, const flow_packet& packet, std::uint32_t priority);
   // Updates the observations of the target by a packet of an open connection.
   void ObserveProgress(instant now, const flow_packet& packet);
   // Whether the target is lost, also as far as this instance has observed.
@@ -158,6 +166,18 @@
                                              const service_name& service,
                                              std::uint32_t priority,
                                              const flow_packet& packet);
+  // The share of the new connections to the service on routes with `priority`
+  // to refuse, at this pressure. `priorities` isn't empty.
+  double ShareToRefuse(instant now, const service_name& service,
+                       std::uint32_t priority, slot_pressure pressure,
+                       const std::set<std::uint32_t>& priorities);
+  // The part of the pressure that is due to requests of the highest priority.
+  slot_pressure HighestPriorityPressure(instant now,
+                                        const service_name& service,
+                                        slot_pressure pressure) const;
+  // Counts a request to the service on a route with `priority`.
+  void ObserveDemand(instant now, const service_name& service,
+                     std::uint32_t priority);
   caller_shares& CallersOf(const refusal_class& of);
   void SelectDataCentre(const service_name& service);
   const known_target* SelectLessLoaded(
@@ -167,8 +187,10 @@
   data_centre_name own_data_centre_;
   std::mt19937_64 random_;
   demand_meter demand_;
-  demand_meter recent_demand_;  // Over a short window.
+  demand_meter recent_demand_;          // Over a short window.
+  demand_meter recent_highest_demand_;  // The same, highest priority only.
   std::unordered_map<service_name, refusal_level> refusal_levels_;
+  std::unordered_map<service_name, refusal_level> highest_refusal_levels_;
   std::map<refusal_class, caller_shares> callers_;
   microseconds wall_clock_offset_{0};
   latency_histogram connect_latency_;
@@ -177,6 +199,8 @@
   open_attempts attempts_;
   response_time_estimator response_times_;
   request_tracker requests_;
+  // Requests that arrived while the link was nearly full.
+  request_tracker requests_for_link_;
   unanswered_packets unanswered_;
   std::optional<request_outcomes> outcomes_;
   flow_cache flows_;
--- a/Source/Forwarding/link_budget.cc
+++ b/Source/Forwarding/link_budget.cc
@@ -30,8 +30,17 @@
 // its size; those of the lowest one need this share of it.
 constexpr double kMaxOverdraft = 1.0;
 constexpr double kLowestPriorityFill = 0.5;
+// Requests on open connections may overdraw it further: a new connection is
+// refused before a request whose connection has been paid for.
+constexpr double kHighestRequestFill = -1.5;
+constexpr double kLowestRequestFill = -1.1;
+// A retransmitted request needs this share in addition: it yields to the first
+// ones of all priorities, which can still be answered in time.
+constexpr double kRetransmittedRequestFill = 0.5;
 // Retransmitted opening packets need this share of the bucket in addition.
 constexpr double kRetransmittedFill = 0.3;
+// Resets of the lowest priority need this share of the bucket for resets.
+constexpr double kLowestResetFill = 0.5;
 // Further debt isn't counted, so that it's paid soon after the load has ended.
 constexpr double kMaxDebt = 2.0;
 // A priority without a new connection for this time isn't in use.
@@ -71,16 +80,30 @@
                           bool retransmitted) {
   if (!is_limited_) return true;
   priorities_[priority] = now;
-  const auto rank = static_cast<double>(
-      std::distance(priorities_.begin(), priorities_.find(priority)));
-  const auto lowest = static_cast<double>(priorities_.size() - 1);
-  const double share = lowest > 0 ? rank / lowest : 0;
-  const double needed = share * (kMaxOverdraft + kLowestPriorityFill) -
-                        kMaxOverdraft +
-                        (retransmitted ? kRetransmittedFill : 0);
+  const double needed =
+      RankOf(priority) * (kMaxOverdraft + kLowestPriorityFill) - kMaxOverdraft +
+      (retransmitted ? kRetransmittedFill : 0);
   return Fill(now) >= needed;
 }
 
+bool link_budget::CanSendRequest(instant now, std::uint32_t priority,
+                                 bool retransmitted) {
+  if (!is_limited_) return true;
+  priorities_[priority] = now;
+  const double needed =
+      kHighestRequestFill +
+      RankOf(priority) * (kLowestRequestFill - kHighestRequestFill) +
+      (retransmitted ? kRetransmittedRequestFill : 0);
+  return packets_.Fill(now) >= needed;
+}
+
+double link_budget::RankOf(std::uint32_t priority) const {
+  if (priorities_.size() < 2) return 0;
+  const auto rank = static_cast<double>(
+      std::distance(priorities_.begin(), priorities_.lower_bound(priority)));
+  return std::min(1.0, rank / static_cast<double>(priorities_.size() - 1));
+}
+
 void link_budget::RecordOpened(instant now, std::uint32_t datagram_bytes) {
   if (!is_limited_) return;
   packets_.Take(now, datagram_bytes + kTargetPrefixBytes + kFramingBytes);
@@ -95,10 +118,12 @@
   following_bytes_.Add(now, bytes);
 }
 
-bool link_budget::TakeReset(instant now) {
+bool link_budget::TakeReset(instant now, std::uint32_t priority) {
   if (!is_limited_) return true;
   const double bytes = kResetBytes + kFramingBytes;
-  if (resets_.Fill(now) * resets_.size_bytes() < bytes) return false;
+  const double needed =
+      bytes / resets_.size_bytes() + RankOf(priority) * kLowestResetFill;
+  if (resets_.Fill(now) < needed) return false;
   resets_.Take(now, bytes);
   return true;
 }
--- a/Source/Forwarding/link_budget.h
+++ b/Source/Forwarding/link_budget.h
@@ -43,8 +43,9 @@
   instant updated_;
 };
 
-// Packets of open connections always pass and are charged. New connections are
-// admitted, and refused ones are reset, while there are bytes left for it.
+// Packets without data always pass and are charged: they complete requests that
+// have been sent. New connections are admitted, refused ones are reset, and
+// requests on open connections are forwarded while there are bytes left for it.
 class link_budget {
  public:
   // `capacity` is the rate of the link; without it, there is no limit.
@@ -55,12 +56,19 @@
   // than a first one, since its caller has waited already and more likely gets
   // a late answer. Records that the priority is in use.
   bool CanOpen(instant now, std::uint32_t priority, bool retransmitted);
+  // Whether a packet with data of an open connection fits the link. If not, it
+  // should be dropped: it would wait in the queue until its caller retransmits
+  // it, and delay all others. A retransmitted one gets less room than a first
+  // one. Records that the priority is in use.
+  bool CanSendRequest(instant now, std::uint32_t priority, bool retransmitted);
   // An opening packet of `datagram_bytes` was forwarded.
   void RecordOpened(instant now, std::uint32_t datagram_bytes);
   // A packet of an open connection was forwarded or answered.
   void RecordFollowing(instant now, std::uint32_t datagram_bytes);
   // Whether the reset of a refused connection fits the link, and its charge.
-  bool TakeReset(instant now);
+  // Callers of a high priority are reset first: they try again at once and may
+  // still be served in time.
+  bool TakeReset(instant now, std::uint32_t priority);
   // Forgets priorities that aren't in use any more.
   void Tick(instant now);
 
@@ -69,6 +77,9 @@
   double Fill(instant now) const;
 
  private:
+  // Position of the priority among those in use, from 0 for the highest to 1
+  // for the lowest one.
+  double RankOf(std::uint32_t priority) const;
   // Bytes that a connection sends after its opening packet.
   double BytesPerConnection(instant now) const;
 
--- a/Source/Forwarding/overload.cc
+++ b/Source/Forwarding/overload.cc
@@ -6,13 +6,6 @@
 namespace lavendertack {
 namespace {
 
-// The pressure at which the refusal level settles: all slots are busy, and a
-// request waits in the queue for somewhat less time than a target works on it.
-// The overload scenario of the model compares setpoints of 1.6, 1.8 and 2.0: at
-// 0.8 of the targets' capacity, 14, 8 and 4 of 100 low-priority requests are
-// refused or delayed; at 5 times that load, 1.9, 2.5 and 3.8 of 100
-// high-priority requests are delayed.
-constexpr slot_pressure kPressureSetpoint = 1.8;
 // Change of the level per second when the pressure is twice the setpoint.
 constexpr double kMaxLevelChangePerSecond = 1.0;
 // Longest interval that counts towards a rise of the level. The level is
@@ -43,7 +36,7 @@
                              std::size_t refusable_priorities) {
   const microseconds elapsed = now - updated_.value_or(now);
   updated_ = now;
-  const double error = std::clamp(pressure / kPressureSetpoint - 1, -1.0, 1.0);
+  const double error = std::clamp(pressure / setpoint_ - 1, -1.0, 1.0);
   // The whole interval counts for a fall, but at most kMaxRiseInterval for a
   // rise.
   const auto interval =
--- a/Source/Forwarding/overload.h
+++ b/Source/Forwarding/overload.h
@@ -5,8 +5,9 @@
 // fills the targets' queues, and requests of high priority wait and are refused
 // together with those of low priority. Connections of the route with the lowest
 // priority are refused first, at their first packet. Those of the highest
-// priority are never refused here: a target whose queue is full refuses their
-// requests itself, and it can judge that better than this instance.
+// priority are refused only if their own requests are more than the targets can
+// work on: each request that a full target refuses has used the link, and its
+// caller sends it again.
 #ifndef LAVENDERTACK_FORWARDING_OVERLOAD_H_
 #define LAVENDERTACK_FORWARDING_OVERLOAD_H_
 
@@ -40,12 +41,21 @@
 service_priorities PrioritiesOf(
     const std::unordered_map<ipv4_endpoint, route>& routes);
 
+// Pressure at which the refusal of connections of lower priorities settles, and
+// the pressure of the highest priority alone at which its own does: most of the
+// targets' queues are in use, and requests are still answered in time.
+constexpr slot_pressure kLowerPrioritySetpoint = 1.8;
+constexpr slot_pressure kHighestPrioritySetpoint = 3.0;
+
 // Integral controller for the refusal of new connections of one service. At
 // level 1 all connections of the lowest priority are refused, at level 2 also
 // all of the next higher priority. The level changes until the pressure reaches
 // its setpoint, where the targets are busy and their queues short.
 class refusal_level {
  public:
+  explicit refusal_level(slot_pressure setpoint = kLowerPrioritySetpoint)
+      : setpoint_(setpoint) {}
+
   // Changes the level according to the pressure and the time since the last
   // call, and returns it. `refusable_priorities` is the number of priorities
   // that may be refused, the maximum of the level.
@@ -54,6 +64,7 @@
   double value() const { return level_; }
 
  private:
+  slot_pressure setpoint_;
   double level_ = 0;
   std::optional<instant> updated_;
 };
--- a/Source/Forwarding/request_tracker.cc
+++ b/Source/Forwarding/request_tracker.cc
@@ -3,20 +3,18 @@
 namespace lavendertack {
 namespace {
 
-// Size of the hash table, and so the maximum number of tracked requests.
-constexpr std::size_t kMaxTrackedRequests = 1024;
 // A packet that repeats a request sooner than this is a duplicate of the
 // network: callers retransmit after 200 ms at the earliest.
 constexpr milliseconds kMinRetransmitTime{150};
 
 }  // namespace
 
-request_tracker::request_tracker() : requests_(kMaxTrackedRequests) {}
+request_tracker::request_tracker(std::size_t capacity) : requests_(capacity) {}
 
 request_progress request_tracker::Observe(instant now,
                                           const flow_packet& packet) {
   tracked_request& entry =
-      requests_[std::hash<flow_key>()(packet.flow) % kMaxTrackedRequests];
+      requests_[std::hash<flow_key>()(packet.flow) % requests_.size()];
   const bool is_tracked = entry.in_use && entry.flow == packet.flow;
   const bool is_answered =
       is_tracked && entry.acknowledged != packet.acknowledged;
--- a/Source/Runtime/fleet_queries.cc
+++ b/Source/Runtime/fleet_queries.cc
@@ -120,13 +120,16 @@
       "connection_answer_seconds", "histogram",
       "Time from a connection's first packet to the caller's next one.");
   view.entry.router().connect_latency().WriteSamples(&out);
-  out.BeginFamily("refusal_level_percent", "gauge",
-                  "Share of new connections on low-priority routes that is "
-                  "refused because of load.");
-  for (const auto& [service, level] : view.entry.router().refusal_levels()) {
-    out.AddSample(FormatLabel("service", service.value),
-                  static_cast<std::uint64_t>(level.value() * 100));
-  }
+  ExposeRefusalLevels(
+      "refusal_level_percent",
+      "Share of new connections on low-priority routes that is refused because "
+      "of load.",
+      view.entry.router().refusal_levels(), &out);
+  ExposeRefusalLevels("highest_priority_refusal_percent",
+                      "Share of new connections of the highest priority that "
+                      "is refused because "
+                      "of load.",
+                      view.entry.router().highest_refusal_levels(), &out);
   if (const auto& outcomes = view.entry.router().outcomes()) {
     out.BeginFamily("request_outcomes_total", "counter",
                     "Requests whose outcome was observed, by outcome.");
--- a/Source/UnitTests/Forwarding/flow_router_test.cc
+++ b/Source/UnitTests/Forwarding/flow_router_test.cc
@@ -464,6 +464,20 @@
     setup.state.routes.erase(high_priority_route);
     setup.state.priorities = PrioritiesOf(setup.state.routes);
     REQUIRE(count_refused(kRoute) == 0);
+    // Guards against requests that full targets refuse, each of which its
+    // caller sends again over the link.
+    SECTION("unless its own requests are more than the targets can process") {
+      send_requests(400);
+      REQUIRE(count_refused(kRoute) > 10);
+      setup.now += seconds(4);
+      REQUIRE(count_refused(kRoute) == 0);
+    }
+    SECTION("and not while its requests are answered in time") {
+      setup.AddTarget("i-2", "a");
+      send_requests(400);
+      REQUIRE(setup.router.Pressure(setup.now, kCatalogue, 4) > 1.8);
+      REQUIRE(count_refused(kRoute) == 0);
+    }
   }
 }
 
--- a/Source/UnitTests/Forwarding/link_budget_test.cc
+++ b/Source/UnitTests/Forwarding/link_budget_test.cc
@@ -89,6 +89,25 @@
     return counts_;
   }
 
+  // The same on connections that are open already.
+  std::map<std::uint32_t, class_counts> RunOnOpenConnections(
+      double rate, milliseconds duration) {
+    counts_.clear();
+    const microseconds gap(static_cast<std::int64_t>(1e6 / rate));
+    const instant end = queue_.Now() + duration;
+    for (int i = 0; queue_.Now() < end; ++i) {
+      auto started = std::make_shared<request>();
+      started->priority = i % 5 == 0 ? kUrgent : kPatient;
+      started->started = queue_.Now();
+      started->attempt = ++attempts_;
+      ++counts_[started->priority].started;
+      SendRequest(started, started->attempt,
+                  TagOf({"i-" + std::to_string(i % 20)}), milliseconds(200));
+      queue_.RunUntil(queue_.Now() + gap);
+    }
+    return counts_;
+  }
+
   void Suspend(milliseconds duration) {
     queue_.RunUntil(queue_.Now() + duration);
   }
@@ -161,11 +180,13 @@
     packet.tag = tag;
     packet.data_bytes = kRequestBytes - kHeader;
     packet.datagram_bytes = kRequestBytes;
-    router_.Route(queue_.Now(), packet);
-    AfterLink(packet, [this, r, tag] {
-      queue_.ScheduleAfter(milliseconds(15),
-                           [this, r, tag] { HandleAnswer(r, tag); });
-    });
+    const forward_decision decision = router_.Route(queue_.Now(), packet);
+    if (std::holds_alternative<forward_to_target>(decision)) {
+      AfterLink(packet, [this, r, tag] {
+        queue_.ScheduleAfter(milliseconds(15),
+                             [this, r, tag] { HandleAnswer(r, tag); });
+      });
+    }
     queue_.ScheduleAfter(interval, [this, r, attempt, tag, interval] {
       SendRequest(r, attempt, tag, interval * 2);
     });
@@ -256,6 +277,47 @@
   REQUIRE(GoodputOf(counts, kStep) >= 0.85 * best);
 }
 
+// Requests per second on open connections that the link can carry. Without
+// opening packets, a request takes 1,006 bytes.
+constexpr double kOpenRequestsPerS = 596;
+
+// Guards against a queue of requests on open connections, whose callers
+// retransmit all of them. No connection can be refused to end it.
+TEST_CASE("more requests on open connections than the link can carry") {
+  link_replay replay(kLinkRate);
+  const double best = GoodputOf(
+      replay.RunOnOpenConnections(0.75 * kOpenRequestsPerS, kStep), kStep);
+
+  for (const double load : {1.5, 3.0, 10.0}) {
+    DYNAMIC_SECTION(load << " times what the link can carry") {
+      auto counts =
+          replay.RunOnOpenConnections(load * kOpenRequestsPerS, kStep);
+      INFO("goodput " << GoodputOf(counts, kStep) << " of " << best);
+      REQUIRE(GoodputOf(counts, kStep) >= 0.85 * best);
+      if (load * 0.2 < 0.75) REQUIRE(counts[kUrgent].InTime() >= 0.95);
+    }
+  }
+}
+
+void RequireOpenConnectionsServedAfter(double load) {
+  link_replay replay(kLinkRate);
+  replay.RunOnOpenConnections(load * kOpenRequestsPerS, kStep);
+  constexpr double kUsualLoad = 0.1 * kOpenRequestsPerS;
+  replay.RunOnOpenConnections(kUsualLoad, milliseconds(1000));
+  auto after = replay.RunOnOpenConnections(kUsualLoad, milliseconds(1000));
+  REQUIRE(after[kUrgent].InTime() >= 0.99);
+  REQUIRE(after[kPatient].InTime() >= 0.99);
+}
+
+// Guards against requests that are dropped longer than the load lasts.
+TEST_CASE("a second after 1.5 and 3 times on open connections all are served") {
+  RequireOpenConnectionsServedAfter(1.5);
+  RequireOpenConnectionsServedAfter(3);
+}
+TEST_CASE("a second after 10 times on open connections all are served") {
+  RequireOpenConnectionsServedAfter(10);
+}
+
 void RequireServedAfter(double load) {
   link_replay replay(kLinkRate);
   replay.Run(load * kLinkRequestsPerS, kStep);
@@ -278,7 +340,7 @@
   link_budget link(std::nullopt);
   for (int i = 0; i < 100'000; ++i) link.RecordFollowing(instant{}, 1200);
   REQUIRE(link.CanOpen(instant{}, kPatient, false));
-  REQUIRE(link.TakeReset(instant{}));
+  REQUIRE(link.TakeReset(instant{}, kPatient));
   REQUIRE(link.Fill(instant{}) == 1);
 }
 
@@ -320,13 +382,31 @@
     spend_down_to(-0.5);
     REQUIRE(link.CanOpen(now, kPatient, false));
   }
+  SECTION("a request on an open connection may overdraw it further") {
+    spend_down_to(-1.05);
+    REQUIRE_FALSE(link.CanOpen(now, kUrgent, false));
+    REQUIRE(link.CanSendRequest(now, kPatient, false));
+    spend_down_to(-1.3);
+    REQUIRE_FALSE(link.CanSendRequest(now, kPatient, false));
+    REQUIRE(link.CanSendRequest(now, kUrgent, false));
+    REQUIRE_FALSE(link.CanSendRequest(now, kUrgent, true));
+    spend_down_to(-1.6);
+    REQUIRE_FALSE(link.CanSendRequest(now, kUrgent, false));
+  }
+  SECTION("callers of the highest priority are reset first") {
+    while (link.TakeReset(now, kPatient)) {
+    }
+    int resets = 0;
+    while (link.TakeReset(now, kUrgent)) ++resets;
+    REQUIRE(resets > 5);
+  }
   SECTION("resets have a limit of their own") {
     int resets = 0;
-    while (link.TakeReset(now)) ++resets;
+    while (link.TakeReset(now, kUrgent)) ++resets;
     REQUIRE(resets > 10);
     REQUIRE(link.Fill(now) == 1);
     now += milliseconds(100);
-    REQUIRE(link.TakeReset(now));
+    REQUIRE(link.TakeReset(now, kUrgent));
   }
 }
 
