--- a/Source/Runtime/fleet_queries.cc
+++ b/Source/Runtime/fleet_queries.cc
@@ -86,6 +86,17 @@
   }
 }
 
+void ExposeRefusalLevels(
+    const std::string& name, const std::string& help,
+    const std::unordered_map<service_name, refusal_level>& levels,
+    exposition_writer* out) {
+  out->BeginFamily(name, "gauge", help);
+  for (const auto& [service, level] : levels) {
+    out->AddSample(FormatLabel("service", service.value),
+                   static_cast<std::uint64_t>(level.value() * 100));
+  }
+}
+
 std::string EntryMetrics(const entry_query_view& view) {
   exposition_writer out;
   const control_follower& follower = view.entry.follower();
