Targets: a report that has changed clears the mark to republish it

The mark remained, so the report after it was sent to all followers once more. Also the comment of the peer port.

--- a/Source/Config/fleet_settings.h
+++ b/Source/Config/fleet_settings.h
@@ -39,8 +39,10 @@
   data_centre_name data_centre;
   // Control instances to contact first.
   std::vector<ipv4_address> seeds;
-  port_number peer_port;     // TCP port on which control instances listen.
-  port_number metrics_port;  // HTTP port for metrics and state.
+  // TCP port on which control instances listen, and UDP port on which entry
+  // instances receive their announcements.
+  port_number peer_port;
+  port_number metrics_port;            // HTTP port for metrics and state.
   milliseconds heartbeat_interval{0};  // Time between two reports of a target.
   milliseconds stop_within{0};         // Time between SIGTERM and SIGKILL.
   // Targets that are slow or fail are detected and get fewer new flows.
--- a/Source/Targets/target_registry.cc
+++ b/Source/Targets/target_registry.cc
@@ -56,14 +56,14 @@
       cold_until > now && cold_until > target.cold_until + kColdTolerance;
   const bool restarted =
       report.version.started_ms != target.report.version.started_ms;
+  const bool is_republished = republish_next_.erase(report.id) > 0;
   const bool changed = added || restarted || becomes_cold ||
                        target.report.restored ||
                        report.phase != target.report.phase ||
                        report.address != target.report.address ||
                        report.service != target.report.service ||
                        report.data_centre != target.report.data_centre ||
-                       report.slots != target.report.slots ||
-                       republish_next_.erase(report.id) > 0;
+                       report.slots != target.report.slots || is_republished;
   if (changed) target.cold_until = cold_until;
   const percent weight = restarted ? kFullWeight : target.report.weight;
   target.report = report;
--- a/Source/UnitTests/Targets/target_registry_test.cc
+++ b/Source/UnitTests/Targets/target_registry_test.cc
@@ -132,6 +132,15 @@
               target_phase::kDraining);
     }
   }
+  // The mark used to remain if the report had changed anyway, and the one after
+  // it was sent to all followers once more.
+  SECTION("the next report is republished once") {
+    registry.RepublishNextReports(Report(1).data_centre);
+    REQUIRE(registry.Report(start, Report(2, target_phase::kDraining)) ==
+            report_result::kChanged);
+    REQUIRE(registry.Report(start, Report(3, target_phase::kDraining)) ==
+            report_result::kUnchanged);
+  }
   // A target that was saved as cold used to count as warm after a restart of
   // its control instance.
   SECTION("a restored target that was cold stays cold") {
