--- a/Source/Runtime/entry_loop.cc
+++ b/Source/Runtime/entry_loop.cc
@@ -256,8 +256,9 @@
                 reset->pressure);
     } else {
       const forward_reason reason = std::get<drop_packet>(decision).reason;
-      if (reason == forward_reason::kLinkFull ||
-          reason == forward_reason::kOverloaded) {
+      const bool is_refusal = reason == forward_reason::kLinkFull ||
+                              reason == forward_reason::kOverloaded;
+      if (packet.opens && is_refusal) {
         ++counts_.resets_left_out;
       }
       LogPacket(now, packet, "packet_dropped", reason, nullptr);
