Forwarding: reset connections into a data centre that can't be reached

An entry instance now takes another data centre for unreachable while no update of its control instances has arrived for 0.8 s, its targets have left three packets unanswered and none has answered for 0.4 s. Connections to it are reset, recent idle ones at once, and new ones are opened elsewhere. Evidence from before a suspension doesn't count.

--- a/Source/Entry/entry_instance.cc
+++ b/Source/Entry/entry_instance.cc
@@ -115,6 +115,7 @@
   // Updates that were sent before the request may be older than the pause.
   if (asked_since_resumed_ && message.update().current()) resumed_at_.reset();
   auto events = follower_.Apply(now, {message.from()}, message.update());
+  router_.RecordUpdate(now, {message.update().data_centre()});
   for (const follower_event& event : events) {
     const auto* change = std::get_if<target_change>(&event);
     if (change == nullptr) continue;
@@ -180,6 +181,8 @@
   DetectSuspension(now);
   last_tick_at_ = now;
   router_.Tick(now);
+  const auto unreachable = router_.TakeUnreachableFlows(now);
+  lost_flows_.insert(lost_flows_.end(), unreachable.begin(), unreachable.end());
   auto events = follower_.Tick(now);
   ReviewWithdrawal(now);
   return events;
--- a/Source/Forwarding/flow_router.cc
+++ b/Source/Forwarding/flow_router.cc
@@ -130,6 +130,7 @@
   if (auto previous = attempts_.Remove(packet.flow)) {
     load_.ChangePending(now, previous->tag, -1);
     if (packet.retransmission > 0) {
+      RecordUnansweredOpening(previous->tag);
       unanswered = previous->tag;
       load_.RecordUnanswered(now, unanswered);
       unanswered_.RecordUnanswered(unanswered);
@@ -180,6 +181,9 @@
     connect_latency_.Observe(now - attempt->sent);
     response_times_.ObserveHandshake(
         std::chrono::duration_cast<microseconds>(now - attempt->sent));
+    if (target != nullptr) {
+      reachability_.RecordAnswered(now, target->report.data_centre);
+    }
     if (outcomes_ && target != nullptr) {
       outcomes_->ObserveHandshake(
           target->report.data_centre,
@@ -191,11 +195,15 @@
       (target->IsTerminated() && now - target->changed > kTerminationGrace)) {
     return reset_caller{forward_reason::kTargetOver};
   }
-  ObserveProgress(now, packet);
+  ObserveProgress(now, packet, *target);
   if (IsLost(now, *target)) {
     flows_.Remove(packet.flow);
     return reset_caller{forward_reason::kTargetLost};
   }
+  if (IsUnreachable(now, *target)) {
+    flows_.Remove(packet.flow);
+    return reset_caller{forward_reason::kUnreachable};
+  }
   if (packet.resets) {
     flows_.Remove(packet.flow);
   } else {
@@ -222,14 +230,17 @@
   return !is_retransmitted && link_.CanSendRequest(now, priority, false);
 }
 
-void flow_router::ObserveProgress(instant now, const flow_packet& packet) {
+void flow_router::ObserveProgress(instant now, const flow_packet& packet,
+                                  const known_target& target) {
   switch (requests_.Observe(now, packet)) {
     case request_progress::kRetransmitted:
       unanswered_.RecordUnanswered(packet.tag);
+      reachability_.RecordUnanswered(target.report.data_centre);
       break;
     case request_progress::kAnswered:
       load_.RecordProgress(now, packet.tag);
       unanswered_.RecordAnswered(packet.tag);
+      reachability_.RecordAnswered(now, target.report.data_centre);
       break;
     case request_progress::kNone:
       break;
@@ -241,6 +252,30 @@
          !load_.HasAnsweredSince(now - kAnswerMemory, target.tag);
 }
 
+void flow_router::RecordUnansweredOpening(target_tag tag) {
+  if (const known_target* target = state_->targets.FindByTag(tag)) {
+    reachability_.RecordUnanswered(target->report.data_centre);
+  }
+}
+
+bool flow_router::IsUnreachable(instant now, const known_target& target) const {
+  return target.report.data_centre != own_data_centre_ &&
+         reachability_.IsUnreachable(now, target.report.data_centre);
+}
+
+std::vector<flow_packet> flow_router::TakeUnreachableFlows(instant now) {
+  std::vector<flow_packet> flows;
+  for (const data_centre_name& name : reachability_.TakeLost(now)) {
+    if (name == own_data_centre_) continue;
+    for (const auto& [id, target] : state_->targets.targets()) {
+      if (target->report.data_centre != name) continue;
+      const auto taken = flows_.TakeFlowsOf(now, target->tag);
+      flows.insert(flows.end(), taken.begin(), taken.end());
+    }
+  }
+  return flows;
+}
+
 std::vector<flow_packet> flow_router::TakeLostFlows(
     instant now, const known_target& target) {
   if (!target.replaced && !IsLost(now, target)) return {};
@@ -277,7 +312,7 @@
     open_slots_ += SlotsOf(*target) * WeightOf(*target);
     const bool is_suspect = target->tag == unanswered || target->IsLost(now) ||
                             load_.IsSuspect(now, target->tag) ||
-                            IsSkipped(*target);
+                            IsUnreachable(now, *target) || IsSkipped(*target);
     if (is_suspect) {
       suspects_.push_back(target);
     } else {
@@ -419,6 +454,7 @@
   const bool was_suspended = now - last_tick_ > kSuspensionThreshold;
   if (was_suspended) {
     response_times_.DiscardPending();
+    reachability_.Discard(now);
     if (outcomes_) outcomes_->DiscardPending();
   }
   if (outcomes_) outcomes_->Tick(now);
--- a/Source/Forwarding/flow_router.h
+++ b/Source/Forwarding/flow_router.h
@@ -17,6 +17,7 @@
 #include "Common/instant.h"
 #include "Common/latency_histogram.h"
 #include "Forwarding/caller_shares.h"
+#include "Forwarding/data_centre_reachability.h"
 #include "Forwarding/demand.h"
 #include "Forwarding/flow_cache.h"
 #include "Forwarding/link_budget.h"
@@ -131,6 +132,13 @@
   // recent flows, whose callers should get a reset.
   std::vector<flow_packet> TakeLostFlows(instant now,
                                          const known_target& target);
+  // A control instance of the data centre has sent an update.
+  void RecordUpdate(instant now, const data_centre_name& data_centre) {
+    reachability_.RecordUpdate(now, data_centre);
+  }
+  // Returns the same for the targets of all data centres that have become
+  // unreachable since the last call.
+  std::vector<flow_packet> TakeUnreachableFlows(instant now);
   // Time from the last opening packet of a connection to the caller's next
   // packet, which confirms that the target has accepted it.
   const latency_histogram& connect_latency() const { return connect_latency_; }
@@ -147,9 +155,14 @@
   // Whether a packet with data of an open connection fits the link.
   bool FitsLink(instant now, const flow_packet& packet, std::uint32_t priority);
   // Updates the observations of the target by a packet of an open connection.
-  void ObserveProgress(instant now, const flow_packet& packet);
+  void ObserveProgress(instant now, const flow_packet& packet,
+                       const known_target& target);
   // Whether the target is lost, also as far as this instance has observed.
   bool IsLost(instant now, const known_target& target) const;
+  // An opening packet to the target with the tag went unanswered.
+  void RecordUnansweredOpening(target_tag tag);
+  // Whether the target is in another data centre that can't be reached.
+  bool IsUnreachable(instant now, const known_target& target) const;
   // Draws a service at random, by the weights of the route's shares.
   const service_name& PickService(const route& matched_route);
   // Draws whether a target with a reduced weight is left out of the candidates
@@ -202,6 +215,7 @@
   // Requests that arrived while the link was nearly full.
   request_tracker requests_for_link_;
   unanswered_packets unanswered_;
+  data_centre_reachability reachability_;
   std::optional<request_outcomes> outcomes_;
   flow_cache flows_;
   instant last_tick_;
--- a/Source/Forwarding/packet.h
+++ b/Source/Forwarding/packet.h
@@ -41,7 +41,7 @@
   kNoTarget,       // No target of the service accepts new connections.
   kOverloaded,     // The service's slots are needed for higher priorities.
   kLinkFull,       // The link of this instance can't carry more connections.
-  kUnreachable,    // No data centre with usable targets can be reached.
+  kUnreachable,    // The target's, or each open, data centre can't be reached.
   kTargetOver,     // The connection's target is gone or was replaced.
   kTargetLost,     // The connection's target doesn't answer or report.
   kNotYetCurrent,  // This instance has no manifest yet.
