Forwarding: remember all requests that are repeated while the link is full

Callers on open connections were served late in the second after a load of 10 times (LinkBudgetTest, known red). Cause: the table of 8,192 entries that tells copies of dropped requests from new ones had one place for a request, and flows of routes with consecutive ports shared places, so copies took the room of new requests.

--- a/Source/Forwarding/flow_router.cc
+++ b/Source/Forwarding/flow_router.cc
@@ -10,9 +10,6 @@
 // Maximum number of tracked opening packets. At 1,000 new flows per second this
 // covers more than the time in which callers retransmit them.
 constexpr std::size_t kMaxAttempts = 16'384;
-// Maximum number of requests that wait for room on the link: several times what
-// a link of 5 Mbit/s carries within the 1.4 s in which callers retransmit them.
-constexpr std::size_t kMaxRequestsForLink = 8192;
 // Callers abandon an attempt after 1.4 s.
 constexpr milliseconds kAttemptLifetime{1500};
 // Packets are still forwarded to a target that has announced its end for this
@@ -93,8 +90,7 @@
       recent_demand_(kRecentDemandWindow),
       recent_highest_demand_(kRecentDemandWindow),
       link_(link_capacity),
-      attempts_(kMaxAttempts),
-      requests_for_link_(kMaxRequestsForLink) {
+      attempts_(kMaxAttempts) {
   target_selector_ =
       [this](instant now, const std::vector<const known_target*>& candidates) {
         return SelectLessLoaded(now, candidates);
@@ -225,9 +221,8 @@
 bool flow_router::FitsLink(instant now, const flow_packet& packet,
                            std::uint32_t priority) {
   if (link_.CanSendRequest(now, priority, true)) return true;
-  const bool is_retransmitted = requests_for_link_.Observe(now, packet) ==
-                                request_progress::kRetransmitted;
-  return !is_retransmitted && link_.CanSendRequest(now, priority, false);
+  const bool is_repeated = requests_for_link_.Observe(now, packet);
+  return !is_repeated && link_.CanSendRequest(now, priority, false);
 }
 
 void flow_router::ObserveProgress(instant now, const flow_packet& packet,
--- a/Source/Forwarding/flow_router.h
+++ b/Source/Forwarding/flow_router.h
@@ -24,6 +24,7 @@
 #include "Forwarding/open_attempts.h"
 #include "Forwarding/overload.h"
 #include "Forwarding/packet.h"
+#include "Forwarding/repeated_requests.h"
 #include "Forwarding/request_outcomes.h"
 #include "Forwarding/request_tracker.h"
 #include "Forwarding/response_time_estimator.h"
@@ -213,7 +214,7 @@
   response_time_estimator response_times_;
   request_tracker requests_;
   // Requests that arrived while the link was nearly full.
-  request_tracker requests_for_link_;
+  repeated_requests requests_for_link_;
   unanswered_packets unanswered_;
   data_centre_reachability reachability_;
   std::optional<request_outcomes> outcomes_;
--- a/Source/Forwarding/request_tracker.cc
+++ b/Source/Forwarding/request_tracker.cc
@@ -6,10 +6,12 @@
 // A packet that repeats a request sooner than this is a duplicate of the
 // network: callers retransmit after 200 ms at the earliest.
 constexpr milliseconds kMinRetransmitTime{150};
+// Size of the hash table, and so the maximum number of tracked requests.
+constexpr std::size_t kMaxRequests = 1024;
 
 }  // namespace
 
-request_tracker::request_tracker(std::size_t capacity) : requests_(capacity) {}
+request_tracker::request_tracker() : requests_(kMaxRequests) {}
 
 request_progress request_tracker::Observe(instant now,
                                           const flow_packet& packet) {
--- a/Source/Forwarding/request_tracker.h
+++ b/Source/Forwarding/request_tracker.h
@@ -25,11 +25,7 @@
 // packet; a newer request may take the place of another one.
 class request_tracker {
  public:
-  static constexpr std::size_t kDefaultCapacity = 1024;
-
-  // `capacity` is the size of the hash table, and so the maximum number of
-  // tracked requests.
-  explicit request_tracker(std::size_t capacity = kDefaultCapacity);
+  request_tracker();
 
   // Processes a packet of an open connection.
   request_progress Observe(instant now, const flow_packet& packet);
