Forwarding: refusals of full targets aren't samples of the response time

Under 8 to 16 times the load of the most urgent kind, callers waited in the targets' full queues while the instances measured free slots. Cause: full targets refuse with a short answer (126 bytes, 50 to 65 ms), as many as half of all answers, and these pulled the median down: 70 to 100 ms measured where real answers took 217 to 371 ms (median). Answers of less than a quarter of the size that nine in ten don't exceed are left out.

The new test has 12 ms instead of 372 ms on the code before.

--- a/Source/Forwarding/response_time_estimator.cc
+++ b/Source/Forwarding/response_time_estimator.cc
@@ -14,6 +14,14 @@
 // Relative change of the median estimate per sample: a change by a factor of 4
 // takes about 30 samples.
 constexpr double kMedianStep = 0.05;
+// Relative changes of the size of answers per answer above and below it, in the
+// ratio 9 to 1.
+constexpr double kSizeStepUp = 0.045;
+constexpr double kSizeStepDown = 0.005;
+// An answer with less than this fraction of the size is short.
+constexpr double kShortAnswer = 0.25;
+// Sizes are kept for this many routes.
+constexpr std::size_t kMaxRoutes = 4096;
 
 }  // namespace
 
@@ -28,6 +36,18 @@
   }
 }
 
+bool answer_size_estimator::IsShort(std::uint32_t bytes) {
+  const auto size = std::max(1.0, static_cast<double>(bytes));
+  if (value_bytes_ <= 0) value_bytes_ = size;
+  const bool is_short = size < kShortAnswer * value_bytes_;
+  if (size > value_bytes_) {
+    value_bytes_ = std::min(size, value_bytes_ * (1 + kSizeStepUp));
+  } else {
+    value_bytes_ = std::max(size, value_bytes_ * (1 - kSizeStepDown));
+  }
+  return is_short;
+}
+
 response_time_estimator::response_time_estimator()
     : timed_requests_(kMaxTimedRequests) {}
 
@@ -41,7 +61,9 @@
     entry.in_use = false;
     const auto elapsed =
         std::chrono::duration_cast<microseconds>(now - entry.sent);
-    if (packet.data_bytes == 0 && elapsed <= kMaxResponseTime) {
+    const std::uint32_t bytes = packet.acknowledged - entry.acknowledged;
+    if (packet.data_bytes == 0 && elapsed <= kMaxResponseTime &&
+        !IsShortAnswer(packet.flow.route, bytes)) {
       by_service_[service].Add(elapsed);
     }
   }
@@ -53,6 +75,12 @@
            .in_use = true};
 }
 
+bool response_time_estimator::IsShortAnswer(const ipv4_endpoint& route,
+                                            std::uint32_t bytes) {
+  if (sizes_.size() >= kMaxRoutes) sizes_.clear();
+  return sizes_[route].IsShort(bytes);
+}
+
 void response_time_estimator::DiscardPending() {
   for (timed_request& entry : timed_requests_) entry.in_use = false;
 }
--- a/Source/Forwarding/response_time_estimator.h
+++ b/Source/Forwarding/response_time_estimator.h
@@ -5,18 +5,24 @@
 // measured from the handshake, is subtracted.
 //
 // Requests are sampled in a table of fixed size, so nothing is allocated for a
-// packet. A caller doesn't acknowledge a response of a single packet at once
-// but with its next request; that time includes the caller's pause between the
-// requests, so such samples are discarded.
+// packet. A caller may acknowledge a response of a single packet only with its
+// next request; that time includes the caller's pause between the requests, so
+// such samples are discarded.
+//
+// A target whose queue is full answers with a short refusal at once. Such
+// answers aren't samples: under overload they would hide that the responses
+// take long.
 #ifndef LAVENDERTACK_FORWARDING_RESPONSE_TIME_ESTIMATOR_H_
 #define LAVENDERTACK_FORWARDING_RESPONSE_TIME_ESTIMATOR_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <unordered_map>
 #include <vector>
 
 #include "Common/instant.h"
+#include "Common/ipv4.h"
 #include "Common/strong_type.h"
 #include "Forwarding/packet.h"
 
@@ -37,6 +43,17 @@
   double value_us_ = 0;
 };
 
+// Running estimate of a size that nine in ten answers don't exceed. Refusals
+// change it only slowly, even if most answers are refusals.
+class answer_size_estimator {
+ public:
+  // Adds an answer; returns whether it is far shorter than most.
+  bool IsShort(std::uint32_t bytes);
+
+ private:
+  double value_bytes_ = 0;
+};
+
 // Response times of all services, estimated from the callers' packets.
 class response_time_estimator {
  public:
@@ -65,9 +82,13 @@
     bool in_use = false;
   };
 
+  // Whether an answer on the route is far shorter than most.
+  bool IsShortAnswer(const ipv4_endpoint& route, std::uint32_t bytes);
+
   std::vector<timed_request> timed_requests_;
   median_estimator handshake_;  // Network round trip.
   std::unordered_map<service_name, median_estimator> by_service_;
+  std::unordered_map<ipv4_endpoint, answer_size_estimator> sizes_;  // By route.
 };
 
 }  // namespace lavendertack
--- a/Source/UnitTests/Forwarding/response_time_estimator_test.cc
+++ b/Source/UnitTests/Forwarding/response_time_estimator_test.cc
@@ -55,6 +55,28 @@
     }
     REQUIRE(*estimator.Estimate(kService) < milliseconds(26));
   }
+  // Guards against an overload that isn't noticed because full targets refuse
+  // most requests, and do so at once.
+  SECTION("refusals of full targets don't hide that responses take long") {
+    for (std::uint16_t i = 1; i <= 50; ++i) {
+      send_request(i, milliseconds(60), 10 + 785, 0);
+    }
+    for (std::uint16_t i = 51; i <= 450; ++i) {
+      const bool is_refused = i % 4 != 0;
+      send_request(i, milliseconds(is_refused ? 20 : 380),
+                   10 + (is_refused ? 126 : 785), 0);
+    }
+    REQUIRE(*estimator.Estimate(kService) == milliseconds(372));
+  }
+  SECTION("answers that have become shorter are samples again") {
+    for (std::uint16_t i = 1; i <= 50; ++i) {
+      send_request(i, milliseconds(60), 10 + 785, 0);
+    }
+    for (std::uint16_t i = 51; i <= 500; ++i) {
+      send_request(i, milliseconds(30), 10 + 126, 0);
+    }
+    REQUIRE(*estimator.Estimate(kService) == milliseconds(22));
+  }
   SECTION("the estimate follows a slower target within 50 responses") {
     for (std::uint16_t i = 1; i <= 50; ++i) {
       send_request(i, milliseconds(30), 20, 0);
