Forwarding: find targets that reset new connections, and their data centre

Cause: a target that is down resets new connections. The instance sees nothing of it, the caller tries again at once, and a target whose connections end at once looks least loaded, so all three tries went to targets that were down. Now an opening without confirmation or copy after 100 ms counts as unanswered, and after four failed targets in a row without an accepted connection the other targets of the data centre are avoided, except for a probe every 100 ms. Retransmitted requests don't count as demand any more: they made the callers of that data centre be refused first.

The new test replays 8 such targets of 16: at most 9 of 10 connections in 300 ms and 11 in the next second go to them; on the code before all do.

--- a/Source/Forwarding/flow_router.cc
+++ b/Source/Forwarding/flow_router.cc
@@ -10,6 +10,10 @@
 // Maximum number of tracked opening packets. At 1,000 new flows per second this
 // covers more than the time in which callers retransmit them.
 constexpr std::size_t kMaxAttempts = 16'384;
+// Several round trips, and less than the 200 ms after which callers send the
+// opening packet again. A target that resets the connection is found by it:
+// neither the caller's confirmation nor a copy of the opening packet follows.
+constexpr milliseconds kHandshakeTimeout{100};
 // Callers abandon an attempt after 1.4 s.
 constexpr milliseconds kAttemptLifetime{1500};
 // Packets are still forwarded to a target that has announced its end for this
@@ -128,8 +132,10 @@
     if (packet.retransmission > 0) {
       RecordUnansweredOpening(previous->tag);
       unanswered = previous->tag;
-      load_.RecordUnanswered(now, unanswered);
-      unanswered_.RecordUnanswered(unanswered);
+      if (!previous->overdue) {
+        load_.RecordUnanswered(now, unanswered);
+        unanswered_.RecordUnanswered(unanswered);
+      }
       opening_observer_(now, unanswered, previous->sent, false);
     }
     service = previous->service;
@@ -170,28 +176,14 @@
   link_.RecordFollowing(now, packet.datagram_bytes);
   const known_target* target = state_->targets.FindByTag(packet.tag);
   if (auto attempt = attempts_.Remove(packet.flow)) {
-    load_.ChangePending(now, attempt->tag, -1);
-    load_.RecordAnswered(now, packet.tag);
-    unanswered_.RecordAnswered(packet.tag);
-    opening_observer_(now, packet.tag, attempt->sent, true);
-    connect_latency_.Observe(now - attempt->sent);
-    response_times_.ObserveHandshake(
-        std::chrono::duration_cast<microseconds>(now - attempt->sent));
-    if (target != nullptr) {
-      reachability_.RecordAnswered(now, target->report.data_centre);
-    }
-    if (outcomes_ && target != nullptr) {
-      outcomes_->ObserveHandshake(
-          target->report.data_centre,
-          std::chrono::duration_cast<microseconds>(now - attempt->sent));
-    }
+    ObserveAccepted(now, *attempt, packet.tag);
   }
   if (target == nullptr) return drop_packet{forward_reason::kUnknownTag};
   if (target->replaced ||
       (target->IsTerminated() && now - target->changed > kTerminationGrace)) {
     return reset_caller{forward_reason::kTargetOver};
   }
-  ObserveProgress(now, packet, *target);
+  const request_progress progress = ObserveProgress(now, packet, *target);
   if (IsLost(now, *target)) {
     flows_.Remove(packet.flow);
     return reset_caller{forward_reason::kTargetLost};
@@ -211,7 +203,7 @@
     response_times_.ObservePacket(now, packet, target->report.service);
     if (outcomes_) outcomes_->Observe(now, packet, *target);
   }
-  if (packet.data_bytes > 0) {
+  if (packet.data_bytes > 0 && progress != request_progress::kRetransmitted) {
     load_.RecordRequest(now, packet.tag);
     ObserveDemand(now, target->report.service, priority);
   }
@@ -225,9 +217,45 @@
   return !is_repeated && link_.CanSendRequest(now, priority, false);
 }
 
-void flow_router::ObserveProgress(instant now, const flow_packet& packet,
-                                  const known_target& target) {
-  switch (requests_.Observe(now, packet)) {
+void flow_router::ObserveAccepted(instant now, const open_attempt& attempt,
+                                  target_tag tag) {
+  const auto round_trip =
+      std::chrono::duration_cast<microseconds>(now - attempt.sent);
+  load_.ChangePending(now, attempt.tag, -1);
+  load_.RecordAnswered(now, tag);
+  unanswered_.RecordAnswered(tag);
+  opening_observer_(now, tag, attempt.sent, true);
+  connect_latency_.Observe(round_trip);
+  response_times_.ObserveHandshake(round_trip);
+  const known_target* target = state_->targets.FindByTag(tag);
+  if (target == nullptr) return;
+  const data_centre_name& data_centre = target->report.data_centre;
+  reachability_.RecordAnswered(now, data_centre);
+  failed_openings_.RecordAccepted(data_centre);
+  if (outcomes_) outcomes_->ObserveHandshake(data_centre, round_trip);
+}
+
+void flow_router::ObserveOverdue(instant now) {
+  attempts_.TakeOverdue(now - kHandshakeTimeout,
+                        [this, now](const open_attempt& attempt) {
+                          // What was sent before a suspension may have been
+                          // answered meanwhile.
+                          if (now - last_tick_ > kSuspensionThreshold) return;
+                          load_.RecordUnanswered(now, attempt.tag);
+                          unanswered_.RecordUnanswered(attempt.tag);
+                          if (const known_target* target =
+                                  state_->targets.FindByTag(attempt.tag)) {
+                            failed_openings_.RecordFailed(
+                                now, target->report.data_centre, attempt.tag);
+                          }
+                        });
+}
+
+request_progress flow_router::ObserveProgress(instant now,
+                                              const flow_packet& packet,
+                                              const known_target& target) {
+  const request_progress progress = requests_.Observe(now, packet);
+  switch (progress) {
     case request_progress::kRetransmitted:
       unanswered_.RecordUnanswered(packet.tag);
       reachability_.RecordUnanswered(target.report.data_centre);
@@ -240,6 +268,7 @@
     case request_progress::kNone:
       break;
   }
+  return progress;
 }
 
 bool flow_router::IsLost(instant now, const known_target& target) const {
@@ -301,11 +330,18 @@
   not_reporting_.clear();
   suspects_.clear();
   open_slots_ = 0;
+  ObserveOverdue(now);
+  const std::vector<data_centre_name> failing =
+      failed_openings_.TakeFailing(now);
   for (const known_target* target : state_->targets.OfService(service)) {
     if (!target->AcceptsNewFlows(now)) continue;
-    if (state_->closed.contains(target->report.data_centre)) continue;
-    open_slots_ += SlotsOf(*target) * WeightOf(*target);
-    const bool is_suspect = target->tag == unanswered || target->IsLost(now) ||
+    const data_centre_name& data_centre = target->report.data_centre;
+    if (state_->closed.contains(data_centre)) continue;
+    const bool is_failing =
+        std::find(failing.begin(), failing.end(), data_centre) != failing.end();
+    if (!is_failing) open_slots_ += SlotsOf(*target) * WeightOf(*target);
+    const bool is_suspect = is_failing || target->tag == unanswered ||
+                            target->IsLost(now) ||
                             load_.IsSuspect(now, target->tag) ||
                             IsUnreachable(now, *target) || IsSkipped(*target);
     if (is_suspect) {
--- a/Source/Forwarding/flow_router.h
+++ b/Source/Forwarding/flow_router.h
@@ -19,6 +19,7 @@
 #include "Forwarding/caller_shares.h"
 #include "Forwarding/data_centre_reachability.h"
 #include "Forwarding/demand.h"
+#include "Forwarding/failed_openings.h"
 #include "Forwarding/flow_cache.h"
 #include "Forwarding/link_budget.h"
 #include "Forwarding/open_attempts.h"
@@ -155,9 +156,16 @@
   forward_decision ForwardFollowing(instant now, const flow_packet& packet);
   // Whether a packet with data of an open connection fits the link.
   bool FitsLink(instant now, const flow_packet& packet, std::uint32_t priority);
-  // Updates the observations of the target by a packet of an open connection.
-  void ObserveProgress(instant now, const flow_packet& packet,
-                       const known_target& target);
+  // Updates the observations of the target by a packet of an open connection,
+  // and returns what the packet shows.
+  request_progress ObserveProgress(instant now, const flow_packet& packet,
+                                   const known_target& target);
+  // Records openings that their targets haven't accepted in time.
+  void ObserveOverdue(instant now);
+  // The caller's packet shows that the target with the tag has accepted its
+  // connection. It needn't be the target of the last opening packet.
+  void ObserveAccepted(instant now, const open_attempt& attempt,
+                       target_tag tag);
   // Whether the target is lost, also as far as this instance has observed.
   bool IsLost(instant now, const known_target& target) const;
   // An opening packet to the target with the tag went unanswered.
@@ -217,6 +225,7 @@
   repeated_requests requests_for_link_;
   unanswered_packets unanswered_;
   data_centre_reachability reachability_;
+  failed_openings failed_openings_;
   std::optional<request_outcomes> outcomes_;
   flow_cache flows_;
   instant last_tick_;
--- a/Source/Forwarding/open_attempts.cc
+++ b/Source/Forwarding/open_attempts.cc
@@ -9,10 +9,15 @@
   attempts_[flow] = std::move(attempt);
   while (attempts_.size() > capacity_) {
     attempts_.erase(by_time_.front().second);
-    by_time_.pop_front();
+    RemoveOldest();
   }
 }
 
+void open_attempts::RemoveOldest() {
+  by_time_.pop_front();
+  if (seen_ > 0) --seen_;
+}
+
 std::optional<open_attempt> open_attempts::Remove(const flow_key& flow) {
   auto it = attempts_.find(flow);
   if (it == attempts_.end()) return std::nullopt;
@@ -30,7 +35,18 @@
       expired(it->second);
       attempts_.erase(it);
     }
-    by_time_.pop_front();
+    RemoveOldest();
+  }
+}
+
+void open_attempts::TakeOverdue(
+    instant before, const std::function<void(const open_attempt&)>& overdue) {
+  for (; seen_ < by_time_.size() && by_time_[seen_].first < before; ++seen_) {
+    auto it = attempts_.find(by_time_[seen_].second);
+    if (it == attempts_.end() || it->second.overdue) continue;
+    if (it->second.sent >= before) continue;  // Sent again.
+    it->second.overdue = true;
+    overdue(it->second);
   }
 }
 
--- a/Source/Forwarding/open_attempts.h
+++ b/Source/Forwarding/open_attempts.h
@@ -20,6 +20,7 @@
   target_tag tag;        // The target that it was forwarded to.
   service_name service;  // The service of that target.
   instant sent;
+  bool overdue = false;  // TakeOverdue has returned it.
 };
 
 // Pending attempts by flow.
@@ -35,14 +36,22 @@
   // Removes the attempts sent before `before` and calls `expired` for each.
   void Expire(instant before,
               const std::function<void(const open_attempt&)>& expired);
+  // Calls `overdue` for each attempt sent before `before` that it hasn't been
+  // called for. `before` must not fall between two calls.
+  void TakeOverdue(instant before,
+                   const std::function<void(const open_attempt&)>& overdue);
   std::size_t size() const { return attempts_.size(); }
 
  private:
+  void RemoveOldest();
+
   std::size_t capacity_;
   std::unordered_map<flow_key, open_attempt> attempts_;
   // In the order of sending. Entries of removed or replaced attempts stay until
   // they expire or are evicted.
   std::deque<std::pair<instant, flow_key>> by_time_;
+  // Number of entries at the front of `by_time_` that TakeOverdue has seen.
+  std::size_t seen_ = 0;
 };
 
 }  // namespace lavendertack
--- a/Source/UnitTests/Forwarding/flow_router_test.cc
+++ b/Source/UnitTests/Forwarding/flow_router_test.cc
@@ -89,12 +89,15 @@
                       router.Route(now, packet));
   }
 
+  // A caller without a connection.
+  std::uint32_t NextCaller() { return 10'000 + ++callers_; }
+
   // Opens `count` connections, 5 ms apart, and counts them by target id;
   // refused ones under an empty id.
   std::map<std::string, int> OpenFlows(int count) {
     std::map<std::string, int> opened;
     for (int i = 0; i < count; ++i) {
-      const std::uint32_t caller = 10'000 + ++callers_;
+      const std::uint32_t caller = NextCaller();
       const std::string id = OpenFlow(caller);
       ++opened[id];
       if (!id.empty()) router.Route(now, FollowingPacket(caller, {id}));
@@ -320,6 +323,61 @@
 // After all control instances were killed, only the targets that reported first
 // are known to be alive for some seconds. New connections must not all go to
 // them.
+// Replays the targets of a data centre that go down together and reset new
+// connections: the caller confirms nothing and sends no copy.
+TEST_CASE("targets that reset new connections are avoided") {
+  router_fixture setup;
+  for (int i = 0; i < 8; ++i) {
+    setup.AddTarget("a-" + std::to_string(i), "a");
+    setup.AddTarget("b-" + std::to_string(i), "b");
+  }
+  // Opens 30 connections a second. Counts those to targets whose id begins with
+  // `failing`; the others are accepted.
+  const auto count_reset = [&](const std::string& failing, milliseconds time) {
+    int count = 0;
+    for (const instant end = setup.now + time; setup.now < end;) {
+      const std::uint32_t caller = setup.NextCaller();
+      const std::string id = setup.OpenFlow(caller);
+      setup.now += milliseconds(8);
+      if (id.starts_with(failing)) {
+        ++count;
+      } else {
+        setup.router.Route(setup.now, setup.FollowingPacket(caller, {id}));
+      }
+      setup.now += milliseconds(25);
+      setup.router.Tick(setup.now);
+    }
+    return count;
+  };
+  REQUIRE(count_reset("none", seconds(2)) == 0);
+
+  SECTION("a single one") {
+    REQUIRE(count_reset("a-3", seconds(1)) <= 3);
+    REQUIRE(count_reset("a-3", seconds(1)) <= 2);
+  }
+  SECTION("all of the data centre, after a few of them have failed") {
+    REQUIRE(count_reset("a-", milliseconds(300)) <= 9);
+    SECTION("except for probes") {
+      REQUIRE(count_reset("a-", seconds(1)) <= 11);
+      SECTION("until one accepts a connection") {
+        REQUIRE(count_reset("none", milliseconds(300)) == 0);
+        setup.now += seconds(8);
+        setup.router.Tick(setup.now);
+        REQUIRE(setup.OpenFlows(100)[""] == 0);
+        REQUIRE(count_reset("b-", seconds(1)) == 0);
+      }
+    }
+  }
+  SECTION("not because the process was suspended") {
+    for (int i = 0; i < 4; ++i) setup.OpenFlow(setup.NextCaller());
+    setup.now += seconds(2);
+    const std::string id = setup.OpenFlow(setup.NextCaller());
+    setup.router.Tick(setup.now);
+    REQUIRE(id.starts_with("a-"));
+    REQUIRE(count_reset("b-", seconds(1)) == 0);
+  }
+}
+
 TEST_CASE("new connections don't overload the few targets that report") {
   router_fixture setup;
   for (int i = 0; i < 10; ++i) setup.AddTarget("i-" + std::to_string(i), "a");
