Forwarding: data centres share the load equally once queues fill up

Cause: up to 1.3 times the mean load per slot a data centre keeps all its new connections, so all of the excess waits in its own targets. The bound now falls from 1.3 to 1.0 as the pressure rises from 0.8 to 1.2.

The new test has an imbalance of 1.14 between the data centres' targets with the slack before, bound 1.01.

--- a/Source/Forwarding/demand.cc
+++ b/Source/Forwarding/demand.cc
@@ -1,8 +1,25 @@
 #include "Forwarding/demand.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lavendertack {
+namespace {
+
+// While slots are free, a data centre's own targets get its demand up to this
+// multiple of the mean load per slot.
+constexpr double kMaxLocalSlack = 1.3;
+// Pressures between which the slack falls to 1.
+constexpr double kFreePressure = 0.8;
+constexpr double kFullPressure = 1.2;
+
+}  // namespace
+
+double LocalSlack(double pressure) {
+  const double full =
+      (pressure - kFreePressure) / (kFullPressure - kFreePressure);
+  return std::lerp(kMaxLocalSlack, 1.0, std::clamp(full, 0.0, 1.0));
+}
 
 void demand_meter::Observe(instant now, const service_name& service) {
   counts_.try_emplace(service, window_).first->second.Add(now, 1);
--- a/Source/Forwarding/demand.h
+++ b/Source/Forwarding/demand.h
@@ -46,6 +46,13 @@
 };
 using load_by_data_centre = std::map<data_centre_name, data_centre_load>;
 
+// Slack for SplitDemand at a pressure on the service (see overload.h): new
+// flows stay in the callers' data centre while slots are free, and the data
+// centres share the load equally when the queues fill up. Otherwise the callers
+// of the busiest data centre would wait longest and be refused most by its
+// targets.
+double LocalSlack(double pressure);
+
 // Splits the new flows of callers in the data centre `own` over the data
 // centres: a weight for each of them, with a sum of 1. The targets of `own` get
 // the demand up to `slack` times the mean demand per slot over all data
--- a/Source/Forwarding/flow_router.cc
+++ b/Source/Forwarding/flow_router.cc
@@ -23,9 +23,6 @@
 // A target that has answered a caller at this instance within this time isn't
 // treated as lost.
 constexpr milliseconds kAnswerMemory{400};
-// New flows stay in the instance's data centre while its load per slot is below
-// this multiple of the mean over all data centres.
-constexpr double kLocalLoadSlack = 1.3;
 // A longer gap between two ticks means that the process was suspended: normally
 // there are several ticks within this time.
 constexpr milliseconds kSuspensionThreshold{250};
@@ -148,10 +145,11 @@
   if (!is_allowed) service = PickService(found_route->second);
   FindCandidates(now, service, unanswered);
   if (candidates_.empty()) return reset_caller{forward_reason::kNoTarget};
-  if (auto pressure = CheckOverload(now, service, priority, packet)) {
-    return Refuse(now, priority, {forward_reason::kOverloaded, *pressure});
+  const slot_pressure pressure = Pressure(now, service, open_slots_);
+  if (IsRefused(now, service, priority, pressure, packet)) {
+    return Refuse(now, priority, {forward_reason::kOverloaded, pressure});
   }
-  SelectDataCentre(service);
+  SelectDataCentre(service, pressure);
   const known_target* target = target_selector_(now, candidates_);
   load_.RecordOpening(now, target->tag);
   link_.RecordOpened(now, packet.datagram_bytes);
@@ -379,20 +377,18 @@
   return PressureOf(demand, *response_time, slots);
 }
 
-std::optional<slot_pressure> flow_router::CheckOverload(
-    instant now, const service_name& service, std::uint32_t priority,
-    const flow_packet& packet) {
+bool flow_router::IsRefused(instant now, const service_name& service,
+                            std::uint32_t priority, slot_pressure pressure,
+                            const flow_packet& packet) {
   const auto it = state_->priorities.find(service);
-  if (it == state_->priorities.end() || it->second.empty()) return std::nullopt;
-  const slot_pressure pressure = Pressure(now, service, open_slots_);
+  if (it == state_->priorities.end() || it->second.empty()) return false;
   const double share =
       ShareToRefuse(now, service, priority, pressure, it->second);
   // Callers of the highest priority aren't tracked before any is refused.
   const refusal_class of{service, priority};
   const bool is_highest = priority <= *it->second.begin();
-  if (is_highest && share == 0 && !callers_.contains(of)) return std::nullopt;
-  if (!CallersOf(of).Refuses(now, packet, share)) return std::nullopt;
-  return pressure;
+  if (is_highest && share == 0 && !callers_.contains(of)) return false;
+  return CallersOf(of).Refuses(now, packet, share);
 }
 
 double flow_router::ShareToRefuse(instant now, const service_name& service,
@@ -447,7 +443,8 @@
 
 // Reduces the candidates to those of one data centre, which is drawn at random
 // with the weights of SplitDemand.
-void flow_router::SelectDataCentre(const service_name& service) {
+void flow_router::SelectDataCentre(const service_name& service,
+                                   slot_pressure pressure) {
   load_by_data_centre loads;
   for (const known_target* target : candidates_) {
     loads[target->report.data_centre].slots += SlotsOf(*target);
@@ -455,7 +452,8 @@
   if (auto it = state_->demand.find(service); it != state_->demand.end()) {
     for (const auto& [name, rate] : it->second) loads[name].demand = rate;
   }
-  const auto weights = SplitDemand(own_data_centre_, loads, kLocalLoadSlack);
+  const auto weights =
+      SplitDemand(own_data_centre_, loads, LocalSlack(pressure));
   double draw = std::uniform_real_distribution<double>(0, 1)(random_);
   for (const auto& [name, weight] : weights) {
     draw -= weight;
--- a/Source/Forwarding/flow_router.h
+++ b/Source/Forwarding/flow_router.h
@@ -182,12 +182,10 @@
   // didn't answer the previous attempt, or 0.
   void FindCandidates(instant now, const service_name& service,
                       target_tag unanswered);
-  // Returns the pressure if the new flow of `packet` must be refused because of
-  // overload, nullopt if it may be opened.
-  std::optional<slot_pressure> CheckOverload(instant now,
-                                             const service_name& service,
-                                             std::uint32_t priority,
-                                             const flow_packet& packet);
+  // Whether the new flow of `packet` is refused because of overload.
+  bool IsRefused(instant now, const service_name& service,
+                 std::uint32_t priority, slot_pressure pressure,
+                 const flow_packet& packet);
   // The share of the new connections to the service on routes with `priority`
   // to refuse, at this pressure. `priorities` isn't empty.
   double ShareToRefuse(instant now, const service_name& service,
@@ -201,7 +199,7 @@
   void ObserveDemand(instant now, const service_name& service,
                      std::uint32_t priority);
   caller_shares& CallersOf(const refusal_class& of);
-  void SelectDataCentre(const service_name& service);
+  void SelectDataCentre(const service_name& service, slot_pressure pressure);
   const known_target* SelectLessLoaded(
       instant now, const std::vector<const known_target*>& candidates);
 
--- a/Source/UnitTests/Forwarding/demand_test.cc
+++ b/Source/UnitTests/Forwarding/demand_test.cc
@@ -47,6 +47,41 @@
   }
 }
 
+// Replays callers of four data centres that are more than the targets can
+// serve. The busiest data centre has 7 % more of them than the mean.
+TEST_CASE("data centres share the load equally once their queues fill up") {
+  constexpr double kSlotsOfEach = 60;
+  const std::map<std::string, double> demands{
+      {"a", 3520}, {"b", 3230}, {"c", 3120}, {"d", 3570}};
+  load_by_data_centre loads;
+  for (const auto& [name, demand] : demands) {
+    loads[{name}] = {kSlotsOfEach, demand};
+  }
+  // Highest load of the targets in a data centre, as a multiple of the lowest.
+  const auto imbalance = [&](double pressure) {
+    std::map<data_centre_name, double> sent;
+    for (const auto& [name, load] : loads) {
+      for (const auto& [to, weight] :
+           SplitDemand(name, loads, LocalSlack(pressure))) {
+        sent[to] += load.demand * weight;
+      }
+    }
+    const auto by_load = [](const auto& x, const auto& y) {
+      return x.second < y.second;
+    };
+    const auto [lowest, highest] =
+        std::minmax_element(sent.begin(), sent.end(), by_load);
+    return highest->second / lowest->second;
+  };
+
+  SECTION("but not while slots are free") {
+    REQUIRE(imbalance(0.5) == Approx(3570.0 / 3120));
+  }
+  SECTION("with a pressure above the number of slots") {
+    REQUIRE(imbalance(1.5) <= 1.01);
+  }
+}
+
 TEST_CASE("the split loads no data centre beyond the bound") {
   testing::ForEachSeed([](std::uint64_t seed) {
     std::mt19937_64 random(seed);
