--- a/Tools/demo.py
+++ b/Tools/demo.py
@@ -68,12 +68,11 @@
         # By name: process, data centre, service and path of the journal.
         self.targets = {}
 
-    def start_instance(self, name):
+    def start_instance(self, name, program=BIN / "lavendertackd"):
         path, _ = self.settings[name]
         log = open(self.run / f"{name}.log", "ab")
         self.processes[name] = subprocess.Popen(
-            [BIN / "lavendertackd", f"--settings={path}"],
-            stderr=log, stdout=log)
+            [program, f"--settings={path}"], stderr=log, stdout=log)
 
     def start_targets(self):
         addresses = {}
