Control: updates list the control instances only when the list changes

Most of an update without changes is the list of the control instances, which was sent twice a second by each to each entry instance. It is now sent to a new follower, after a change, and every 5 s, as followers forget silent control instances 30 s after they were last listed.

--- a/Source/Control/follower_feed.cc
+++ b/Source/Control/follower_feed.cc
@@ -20,6 +20,10 @@
 // Minimum time between two pushes to the same follower, so that a quick series
 // of manifests is sent as a few combined differences.
 constexpr milliseconds kPushInterval{50};
+// The list of control instances is most of an update without changes. It is
+// sent again when it has changed, and at this interval: followers keep the
+// names of silent control instances for 30 s after they were last listed.
+constexpr milliseconds kControlsInterval{5000};
 // The demand for a service is sent again only if it changed by more than this
 // fraction of the larger value.
 constexpr double kDemandChange = 0.15;
@@ -34,9 +38,7 @@
   auto* update = reply.message.mutable_update();
   update->set_data_centre(content.data_centre.value);
   update->set_current(content.current);
-  for (const instance_name& name : content.controls) {
-    update->add_controls(name.value);
-  }
+  AddControls(now, content, follower, update);
   for (const data_centre_name& name : content.closed) {
     update->add_closed_data_centres(name.value);
   }
@@ -85,6 +87,20 @@
   return reply;
 }
 
+void follower_feed::AddControls(instant now, const feed_content& content,
+                                follower_state* follower,
+                                wire::update* update) {
+  if (content.controls == follower->sent_controls &&
+      now - follower->controls_sent_at < kControlsInterval) {
+    return;
+  }
+  follower->sent_controls = content.controls;
+  follower->controls_sent_at = now;
+  for (const instance_name& name : content.controls) {
+    update->add_controls(name.value);
+  }
+}
+
 void follower_feed::RemoveDemand(follower_state* follower) {
   for (const auto& [service, rate] : follower->demand) {
     demand_[{service, follower->data_centre}] -= rate;
--- a/Source/Control/follower_feed.h
+++ b/Source/Control/follower_feed.h
@@ -68,6 +68,9 @@
     bool control = false;  // The follower is a control instance itself.
     data_centre_name data_centre;
     std::map<service_name, double> demand;  // Requests per second.
+    // The list of control instances that was last sent to it.
+    std::vector<instance_name> sent_controls;
+    instant controls_sent_at;
     // Sums of the demand, in requests per second, that were last sent to it.
     std::map<std::pair<service_name, data_centre_name>, double> sent_demand;
     bool wants_state = true;  // Gets the published state from this instance.
@@ -89,6 +92,9 @@
   // Adds the sums of the demand that changed since they were last sent to the
   // follower.
   void AddDemand(follower_state* follower, wire::update* update) const;
+  // Adds the list of control instances if it's due.
+  static void AddControls(instant now, const feed_content& content,
+                          follower_state* follower, wire::update* update);
   // Builds an update with all unsent changes and marks them as sent.
   feed_update MakeUpdate(instant now, const link_id& to,
                          follower_state* follower, const feed_content& content);
