--- a/Source/Forwarding/failed_openings.cc
+++ b/Source/Forwarding/failed_openings.cc
@@ -1,5 +1,7 @@
 #include "Forwarding/failed_openings.h"
 
+#include <algorithm>
+
 namespace lavendertack {
 namespace {
 
@@ -39,4 +41,11 @@
   return failing;
 }
 
+std::size_t failed_openings::failing_count() const {
+  return static_cast<std::size_t>(std::count_if(
+      by_data_centre_.begin(), by_data_centre_.end(), [](const auto& entry) {
+        return entry.second.targets.size() >= kMinFailedTargets;
+      }));
+}
+
 }  // namespace lavendertack
--- a/Source/Forwarding/failed_openings.h
+++ b/Source/Forwarding/failed_openings.h
@@ -7,6 +7,7 @@
 #ifndef LAVENDERTACK_FORWARDING_FAILED_OPENINGS_H_
 #define LAVENDERTACK_FORWARDING_FAILED_OPENINGS_H_
 
+#include <cstddef>
 #include <map>
 #include <set>
 #include <vector>
@@ -27,6 +28,8 @@
   // connection since. Now and then one is left out, so that the next connection
   // probes it.
   std::vector<data_centre_name> TakeFailing(instant now);
+  // Number of failing data centres.
+  std::size_t failing_count() const;
 
  private:
   struct failures {
--- a/Source/Forwarding/flow_router.h
+++ b/Source/Forwarding/flow_router.h
@@ -121,6 +121,8 @@
   }
   const demand_meter& demand() const { return demand_; }
   const link_budget& link() const { return link_; }
+  // Data centres whose targets don't accept connections.
+  const failed_openings& failing() const { return failed_openings_; }
   // Packets that targets didn't answer, to be reported to the control
   // instances.
   unanswered_packets& unanswered() { return unanswered_; }
--- a/Source/Runtime/fleet_queries.cc
+++ b/Source/Runtime/fleet_queries.cc
@@ -127,6 +127,11 @@
                   "negative if it is overdrawn.");
   out.AddSample("", static_cast<std::int64_t>(
                         view.entry.router().link().Fill(view.now) * 100));
+  out.BeginFamily("failing_data_centres", "gauge",
+                  "Data centres whose targets accept no connections; new "
+                  "ones go elsewhere.");
+  out.AddSample("", static_cast<std::int64_t>(
+                        view.entry.router().failing().failing_count()));
   out.BeginFamily(
       "connection_answer_seconds", "histogram",
       "Time from a connection's first packet to the caller's next one.");
--- a/Source/UnitTests/Forwarding/flow_router_test.cc
+++ b/Source/UnitTests/Forwarding/flow_router_test.cc
@@ -357,6 +357,7 @@
   }
   SECTION("all of the data centre, after a few of them have failed") {
     REQUIRE(count_reset("a-", milliseconds(300)) <= 9);
+    REQUIRE(setup.router.failing().failing_count() == 1);
     SECTION("except for probes") {
       REQUIRE(count_reset("a-", seconds(1)) <= 11);
       SECTION("until one accepts a connection") {
--- a/Source/UnitTests/Forwarding/overload_test.cc
+++ b/Source/UnitTests/Forwarding/overload_test.cc
@@ -86,9 +86,9 @@
 // try again twice at once.
 TEST_CASE("the level rises before requests of a burst wait too long") {
   constexpr double kSlots = 240;
-  constexpr double kWork_s = 0.072;
-  constexpr double kObjective_s = 0.4;
-  constexpr double kStep_s = 0.01;
+  constexpr double kWorkS = 0.072;
+  constexpr double kObjectiveS = 0.4;
+  constexpr double kStepS = 0.01;
   const std::set<std::uint32_t> priorities{0, 1, 2};
   const std::map<std::uint32_t, double> offered{{1, 3376}, {2, 852}};
   refusal_level level;
@@ -101,13 +101,13 @@
     double started = 0;
     for (const auto& [priority, rate] : offered) {
       const double refused = RefusedShare(level.value(), priority, priorities);
-      started += rate * (1 - refused * refused * refused) * kStep_s;
+      started += rate * (1 - refused * refused * refused) * kStepS;
     }
     admitted += started;
     const double wait_s =
-        std::max(0.0, in_progress / kSlots - 1) * kWork_s + kWork_s;
-    if (wait_s > kObjective_s) late += started;
-    const double finished = std::min(in_progress, kSlots * kStep_s / kWork_s);
+        std::max(0.0, in_progress / kSlots - 1) * kWorkS + kWorkS;
+    if (wait_s > kObjectiveS) late += started;
+    const double finished = std::min(in_progress, kSlots * kStepS / kWorkS);
     in_progress += started - finished;
   }
   INFO("in progress per slot at the end " << in_progress / kSlots);
