--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -362,7 +362,7 @@
 
 class Fleet:
     def __init__(self, record, zones=("z1", "z2", "z3"), controls=3,
-                 entries=2, losses=1):
+                 entries=2, losses=1, entry_zones=None):
         program = REPOSITORY / "target/bin/lavendertackd"
         if not program.exists():
             raise CannotRun("target/bin/lavendertackd isn't built")
@@ -382,9 +382,9 @@
                                             zones[i % len(zones)], "control",
                                             controls))
         for i in range(entries):
-            self.entries.append(self._node(f"frontend-{i + 1}", 40 + i,
-                                           zones[i % len(zones)], "entry",
-                                           controls))
+            zone = (entry_zones or zones)[i % len(entry_zones or zones)]
+            self.entries.append(self._node(f"frontend-{i + 1}", 40 + i, zone,
+                                           "entry", controls))
 
     def ip(self, last):
         return self.network + str(last)
