--- a/review/2/run.py
+++ b/review/2/run.py
@@ -35,7 +35,7 @@
                 raise f.CannotRun(f"the first request of a flow: {result}")
             flow["host"] = answer.split()[-1]
             flows.append(flow)
-        at_host = hosts[0]
+        at_host = by_id[flows[0]["host"]]
         record.write(f"{FLOWS} flows are open and served, "
                      f"{sum(x['host'] == at_host.id for x in flows)} of them "
                      f"at host {at_host.id}, {at_host.address}")
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -15,6 +15,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -504,13 +505,12 @@
 def run_case(folder, play):
     """Runs play(record) and returns the exit code of the script."""
     record = Record(folder)
+    # So that the processes are ended, too, if the script is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = play(record)
-    except CannotRun as error:
-        record.write(f"the case couldn't run: {error}")
-        return 2
-    except OSError as error:
-        record.write(f"the case couldn't run: {error}")
+    except Exception as error:  # Whatever it is, it isn't a broken rule.
+        record.write(f"the case couldn't run: {type(error).__name__}: {error}")
         return 2
     record.write("the rule was broken" if broken else "the rule held")
     return 1 if broken else 0
