--- a/review/5/run.py
+++ b/review/5/run.py
@@ -238,7 +238,8 @@
                 time.sleep(GAP_S)
             for step in steps:
                 step.join()
-            time.sleep(1)
+            # So that the rounds meet the routers' probes at any phase.
+            time.sleep(random.uniform(0.7, 1.3))
             if resets:
                 break
         end[0] = 0
