--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,141 +1,159 @@
-"""A host leaves a zone whose core node is frozen: see claim.txt."""
+"""All core processes are killed as a zone is taken back: see claim.txt."""
 import pathlib
+import random
 import signal
-import socket
 import sys
+import threading
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE))
 import fleet as f  # noqa: E402
 
-FREEZE_S = 7.2
-CONTACT_S = f.BOUNDS["contact_window_ms"] / 1000
-DRAIN_S = f.BOUNDS["drain_ms"] / 1000
-LIVING_FLOWS = 10
-LEAVING_FLOWS = 3
+OPENINGS_PER_S = 80
+HOSTS = 4  # In each of two zones.
+DOWN_S = 0.5
+EVACUATED_S = f.BOUNDS["evacuation_ms"] / 1000 + 1
+LIMIT = f.COLD_PER_S * f.BOUNDS["cold_burst_factor"] + f.BOUNDS["cold_slack"]
 
 
-def open_flows(client, entry, hosts, wanted):
-    """Opens flows through `entry` until each host has the wanted number."""
-    flows = {host.id: [] for host in hosts}
-    for i in range(400):
-        if all(len(flows[h.id]) >= wanted[h.id] for h in hosts):
-            return flows
-        flow = client.open(8080, entry)
-        if isinstance(flow, str):
-            raise f.CannotRun(f"a flow didn't open: {flow}")
-        result, answer = client.request(flow, f"first-{i}", entry)
-        if result != "answered":
-            raise f.CannotRun(f"the first request of a flow: {result}")
-        host = answer.split()[-1]
-        if host in flows and len(flows[host]) < wanted[host]:
-            flows[host].append(flow)
-    raise f.CannotRun("too few flows opened at the hosts of z3")
+class Callers:
+    """Opens flows at a steady rate and confirms those that open."""
 
+    def __init__(self, fleet, ip, entry):
+        self.client, self.entry = f.Client(fleet, fleet.record, ip), entry
+        self.pending = {}
+        self.counts = {"sent": 0, "opened": 0, "reset": 0}
+        self.running = True
+        self.threads = [threading.Thread(target=self._send, daemon=True),
+                        threading.Thread(target=self._receive, daemon=True)]
+        for thread in self.threads:
+            thread.start()
 
-def request_packet(client, flow, name):
-    return f.Packet(f.number(client.ip), flow["port"], f.number(f.ROUTE_IP),
-                    flow["route"], f.ACK, flow["seq"], flow["ack"],
-                    flow["echo"], f"GET /{name}".encode())
+    def _packet(self, port, flags, seq, ack, echo=0):
+        return f.Packet(f.number(self.client.ip), port,
+                        f.number(f.ROUTE_IP), 8080, flags, seq, ack, echo)
+
+    def _send(self):
+        at, port = time.monotonic(), 20000
+        again = []
+        while self.running:
+            now = time.monotonic()
+            if now >= at:
+                at += 1 / OPENINGS_PER_S
+                port += 1
+                self.pending[port] = random.getrandbits(30)
+                again += [(now + 0.2, port, 1), (now + 0.6, port, 2)]
+                self.counts["sent"] += 1
+                self.client.send(self._packet(port, f.SYN,
+                                              self.pending[port], 0),
+                                 self.entry)
+            again.sort()
+            while again and again[0][0] <= now:
+                _, old, copy = again.pop(0)
+                seq = self.pending.get(old)
+                if seq is not None:
+                    self.client.send(self._packet(old, f.SYN, seq, copy),
+                                     self.entry)
+            time.sleep(0.002)
+
+    def _receive(self):
+        while self.running:
+            try:
+                raw, _ = self.client.socket.recvfrom(4096)
+            except TimeoutError:
+                continue
+            packet = f.Packet.decode(raw)
+            if packet is None:
+                continue
+            seq = self.pending.pop(packet.dport, None)
+            if seq is None:
+                continue
+            if packet.flags & f.RST:
+                self.counts["reset"] += 1
+                continue
+            self.counts["opened"] += 1
+            self.client.send(self._packet(packet.dport, f.ACK, seq + 1,
+                                          packet.seq + 1, packet.echo),
+                             self.entry)
+
+    def stop(self):
+        self.running = False
+        for thread in self.threads:
+            thread.join()
+
+
+def most_in_a_second(times):
+    best = (0, 0.0)
+    first = 0
+    for last, at in enumerate(times):
+        while at - times[first] >= 1.0:
+            first += 1
+        best = max(best, (last - first + 1, times[first]))
+    return best
 
 
 def play(record):
     fleet = f.Fleet(record)
-    core1, _, core3 = fleet.controls
-    entry = fleet.entries[0]
+    callers = None
     try:
         fleet.start()
         operator = f.Operator(fleet, record)
         fleet.publish(operator, f.manifest(1, [f.route(8080, "desk")],
                                            ["desk"]))
-        f.Host(fleet, record, "desk", "z2", fleet.ip(100),
-               reports_to=core1).start()
-        leaving = f.Host(fleet, record, "desk", "z3", fleet.ip(101),
-                         reports_to=core1).start()
-        living = f.Host(fleet, record, "desk", "z3", fleet.ip(102),
-                        reports_to=core1).start()
+        own = []
+        for i in range(HOSTS):
+            own.append(f.Host(fleet, record, "desk", "z1",
+                              fleet.ip(100 + i)).start())
+            f.Host(fleet, record, "desk", "z2", fleet.ip(110 + i)).start()
+            time.sleep(f.HEARTBEAT_S / HOSTS)  # Their reports are spread.
         fleet.wait_ready()
-        time.sleep(CONTACT_S + 1)
-        client = f.Client(fleet, record, fleet.ip(200))
-        flows = open_flows(client, entry, [leaving, living],
-                           {leaving.id: LEAVING_FLOWS,
-                            living.id: LIVING_FLOWS})
-        record.write(f"{LIVING_FLOWS} flows are open at host {living.id} "
-                     f"(z3), {LEAVING_FLOWS} at host {leaving.id} (z3), "
-                     f"through {entry.name} ({entry.zone})")
-
-        if f.trouble():
-            core3.signal(signal.SIGSTOP)
-            record.write("core-3 (z3) is frozen")
-        frozen_at = time.monotonic()
-        time.sleep(0.3)
-        leaving.state = "draining"
-        if not leaving.report_once():
-            raise f.CannotRun("no node confirmed that the host is draining")
-        record.write(f"host {leaving.id} is draining, confirmed by "
-                     f"{leaving.node.name}")
-        time.sleep(max(DRAIN_S + 0.5,
-                       frozen_at + CONTACT_S + 0.3 - time.monotonic()))
-        status = f.call(core1, "DELETE", f"/instances/{leaving.id}")[0]
-        record.write(f"host {leaving.id} DELETE to core-1: {status}")
-        leaving.crash()
-        record.write(f"host {leaving.id} has exited")
-
-        # The clients' next requests on their flows at the host that has left,
-        # with the retransmissions after 200 ms and then twice that.
-        resets = {}
-        copies = [(time.monotonic() + wait, flow)
-                  for wait in (0, 0.2, 0.6) for flow in flows[leaving.id]]
-        copies.sort(key=lambda item: item[0])
-        ports = {flow["port"]: "living" for flow in flows[living.id]}
-        ports |= {flow["port"]: "leaving" for flow in flows[leaving.id]}
-        end = time.monotonic() + 1.2
-
-        def listen(until):
-            while time.monotonic() < until:
-                try:
-                    raw, sender = client.socket.recvfrom(4096)
-                except TimeoutError:
-                    continue
-                packet = f.Packet.decode(raw)
-                if packet is None or not packet.flags & f.RST:
-                    continue
-                of = ports.get(packet.dport)
-                if of is None:
-                    continue
-                by = "the system" if packet.total == 0 else "a host"
-                record.write(f"flow {packet.dport} at the {of} host: reset by "
-                             f"{by} ({sender[0]})")
-                if of == "living" and packet.total == 0:
-                    resets[packet.dport] = time.monotonic()
-
-        for at, flow in copies:
-            listen(at)
-            client.send(request_packet(client, flow, "next"), entry)
-        listen(end)
-        for i, flow in enumerate(flows[living.id]):
-            if flow["port"] in resets:
-                continue
-            result, why = client.request(flow, f"second-{i}", entry)
-            record.write(f"flow {flow['port']} at the living host: next "
-                         f"request {result} {why}")
-            if result == "reset" and "the system" in why:
-                resets[flow["port"]] = time.monotonic()
-        late = [at for at in resets.values()
-                if at - frozen_at > CONTACT_S and at - frozen_at < FREEZE_S]
-        last = time.monotonic() - living.confirmed[-1]
-        record.write(f"the last report of host {living.id} was confirmed "
-                     f"{last:.1f} s ago by {living.node.name}; the freeze "
-                     f"began {time.monotonic() - frozen_at:.1f} s ago")
-        time.sleep(max(0, frozen_at + FREEZE_S - time.monotonic()))
+        time.sleep(2)
+        callers = Callers(fleet, fleet.ip(200), fleet.entries[0])
+        time.sleep(3)
+        status, _ = operator.order("POST", "/evacuations/z1")
+        if status != 200:
+            raise f.CannotRun("the evacuation wasn't acknowledged")
+        time.sleep(EVACUATED_S)
+        # The hosts have become cold shortly before the zone is taken back.
+        cold_at = time.monotonic()
+        for host in own:
+            host.cold_until = cold_at + f.COLD_START_S
+        record.write("the hosts of z1 become cold for "
+                     f"{f.COLD_START_S:.1f} s")
+        status, _ = operator.order("DELETE", "/evacuations/z1")
+        if status != 200:
+            raise f.CannotRun("taking the zone back wasn't acknowledged")
         if f.trouble():
-            core3.signal(signal.SIGCONT)
-            record.write("core-3 wakes")
-        record.write(f"{len(late)} of {LIVING_FLOWS} flows got a reset that "
-                     "their living host didn't send")
-        return bool(late)
+            for node in fleet.controls:
+                node.signal(signal.SIGKILL)
+            for node in fleet.controls:
+                node.process.wait()
+            record.write("all core processes were killed")
+            time.sleep(DOWN_S)
+            for node in fleet.controls:
+                node.start()
+            record.write("all core processes were started again")
+        time.sleep(f.COLD_START_S + 4)
+        callers.stop()
+        record.write(f"callers: {callers.counts}")
+        broken = False
+        for host in own:
+            cold = [at for at, _ in host.opened
+                    if cold_at <= at < cold_at + f.COLD_START_S]
+            count, at = most_in_a_second(cold)
+            reported = [t for t in host.confirmed if t >= cold_at]
+            record.write(
+                f"host {host.id} (z1): cold, it got at most {count} opening "
+                f"packets in a second (limit {LIMIT:g}), from "
+                f"{at - cold_at if count else 0:.2f} s after it became cold; "
+                f"its first report since was confirmed "
+                f"{reported[0] - cold_at:.2f} s after that")
+            broken = broken or count > LIMIT
+        return broken
     finally:
+        if callers is not None:
+            callers.stop()
         fleet.stop()
 
 
