Entry, Control: logs tell apart why idle flows are reset and how long an order waited

Resets of flows without a packet were all logged and counted as target_lost, also those to targets that were replaced or whose data centre was unreachable. Each reset now has the reason of the decision. The line of an operator's order has waited_ms, the time since an HTTP thread had read it.

--- a/Source/Entry/entry_instance.h
+++ b/Source/Entry/entry_instance.h
@@ -55,9 +55,9 @@
   bool ReceiveAnnouncement(instant now, const wire::fleet_message& message) {
     return follower_.HandleAnnouncement(now, {message.from()});
   }
-  // The last packet of each recent flow whose target was found to be lost since
-  // the last call. The callers should get a reset.
-  std::vector<flow_packet> TakeLostFlows() {
+  // The recent flows whose target was found to be lost, replaced or unreachable
+  // since the last call.
+  std::vector<lost_flow> TakeLostFlows() {
     return std::exchange(lost_flows_, {});
   }
   // Changes of the withdrawal since the last call, for the log.
@@ -118,7 +118,7 @@
   control_follower follower_;
   flow_router router_;
   held_packets held_;
-  std::vector<flow_packet> lost_flows_;
+  std::vector<lost_flow> lost_flows_;
   withdrawal withdrawal_;
   std::vector<withdrawal_change> withdrawal_changes_;
   // When unanswered packets were last reported to the control instances.
--- a/Source/Forwarding/flow_router.cc
+++ b/Source/Forwarding/flow_router.cc
@@ -283,23 +283,35 @@
          reachability_.IsUnreachable(now, target.report.data_centre);
 }
 
-std::vector<flow_packet> flow_router::TakeUnreachableFlows(instant now) {
-  std::vector<flow_packet> flows;
+void flow_router::TakeFlowsOf(instant now, const known_target& target,
+                              forward_reason reason,
+                              std::vector<lost_flow>* lost) {
+  for (flow_packet& packet : flows_.TakeFlowsOf(now, target.tag)) {
+    lost->push_back({std::move(packet), reason});
+  }
+}
+
+std::vector<lost_flow> flow_router::TakeUnreachableFlows(instant now) {
+  std::vector<lost_flow> flows;
   for (const data_centre_name& name : reachability_.TakeLost(now)) {
     if (name == own_data_centre_) continue;
     for (const auto& [id, target] : state_->targets.targets()) {
       if (target->report.data_centre != name) continue;
-      const auto taken = flows_.TakeFlowsOf(now, target->tag);
-      flows.insert(flows.end(), taken.begin(), taken.end());
+      TakeFlowsOf(now, *target, forward_reason::kUnreachable, &flows);
     }
   }
   return flows;
 }
 
-std::vector<flow_packet> flow_router::TakeLostFlows(
-    instant now, const known_target& target) {
-  if (!target.replaced && !IsLost(now, target)) return {};
-  return flows_.TakeFlowsOf(now, target.tag);
+std::vector<lost_flow> flow_router::TakeLostFlows(instant now,
+                                                  const known_target& target) {
+  std::vector<lost_flow> flows;
+  if (target.replaced) {
+    TakeFlowsOf(now, target, forward_reason::kTargetOver, &flows);
+  } else if (IsLost(now, target)) {
+    TakeFlowsOf(now, target, forward_reason::kTargetLost, &flows);
+  }
+  return flows;
 }
 
 const service_name& flow_router::PickService(const route& matched_route) {
--- a/Source/Forwarding/flow_router.h
+++ b/Source/Forwarding/flow_router.h
@@ -64,6 +64,12 @@
 using opening_observer = std::function<void(instant now, target_tag target,
                                             instant sent, bool answered)>;
 
+// A flow that can't go on, whose caller should get a reset.
+struct lost_flow {
+  flow_packet last_packet;
+  forward_reason reason{};
+};
+
 // Routes the packets of one entry instance.
 class flow_router {
  public:
@@ -132,17 +138,15 @@
   // observed.
   std::optional<request_outcomes>& outcomes() { return outcomes_; }
   const std::optional<request_outcomes>& outcomes() const { return outcomes_; }
-  // If the target is lost or replaced, returns the last packet of each of its
-  // recent flows, whose callers should get a reset.
-  std::vector<flow_packet> TakeLostFlows(instant now,
-                                         const known_target& target);
+  // The recent flows of the target if it is lost or replaced.
+  std::vector<lost_flow> TakeLostFlows(instant now, const known_target& target);
   // A control instance of the data centre has sent an update.
   void RecordUpdate(instant now, const data_centre_name& data_centre) {
     reachability_.RecordUpdate(now, data_centre);
   }
   // Returns the same for the targets of all data centres that have become
   // unreachable since the last call.
-  std::vector<flow_packet> TakeUnreachableFlows(instant now);
+  std::vector<lost_flow> TakeUnreachableFlows(instant now);
   // Time from the last opening packet of a connection to the caller's next
   // packet, which confirms that the target has accepted it.
   const latency_histogram& connect_latency() const { return connect_latency_; }
@@ -172,6 +176,9 @@
   bool IsLost(instant now, const known_target& target) const;
   // An opening packet to the target with the tag went unanswered.
   void RecordUnansweredOpening(target_tag tag);
+  // Appends the recent flows of the target to `lost`.
+  void TakeFlowsOf(instant now, const known_target& target,
+                   forward_reason reason, std::vector<lost_flow>* lost);
   // Whether the target is in another data centre that can't be reached.
   bool IsUnreachable(instant now, const known_target& target) const;
   // Draws a service at random, by the weights of the route's shares.
--- a/Source/Model/fleet_model.cc
+++ b/Source/Model/fleet_model.cc
@@ -212,9 +212,10 @@
   } else if (entries_[i].generation ==
              std::stoull(to.value.substr(second + 1))) {
     entries_[i].instance->Receive(Now(), message);
-    for (const flow_packet& packet : entries_[i].instance->TakeLostFlows()) {
-      queue_.ScheduleAfter(kCallerDelay,
-                           [this, key = packet.flow] { HandleLostFlow(key); });
+    for (const lost_flow& lost : entries_[i].instance->TakeLostFlows()) {
+      queue_.ScheduleAfter(kCallerDelay, [this, key = lost.last_packet.flow] {
+        HandleLostFlow(key);
+      });
     }
   }
 }
--- a/Source/Runtime/control_loop.cc
+++ b/Source/Runtime/control_loop.cc
@@ -273,7 +273,7 @@
       const operator_call id{++last_call_id_};
       pending_calls_[id] = {std::move(pending->request),
                             std::holds_alternative<read_published>(order),
-                            std::move(pending->answer), Now()};
+                            std::move(pending->answer), pending->received_at};
       pending_calls_[id].request.body.clear();
       Dispatch(operator_order_received{id, std::move(order)});
     }
@@ -339,8 +339,9 @@
         IsDiskFailurePending()
             ? order_outcome_unknown{"a record couldn't be written to disk"}
             : effect.outcome;
-    LogOrder(it->second.request, outcome);
-    counts_.order_latency.Observe(Now() - it->second.received_at);
+    const microseconds waited = Now() - it->second.received_at;
+    LogOrder(it->second.request, outcome, waited);
+    counts_.order_latency.Observe(waited);
     it->second.answer(adapter_.calls.answer_order(
         it->second.request, outcome, it->second.is_read, control_->published(),
         role_.calls.port));
@@ -425,7 +426,8 @@
   }
   void Apply(const follower_event& effect) { LogFollowerEvent(&log_, effect); }
 
-  void LogOrder(const http_request& request, const order_outcome& outcome) {
+  void LogOrder(const http_request& request, const order_outcome& outcome,
+                microseconds waited) {
     std::string result = "done";
     std::string detail;
     if (const auto* redirect = std::get_if<order_redirected>(&outcome)) {
@@ -443,6 +445,8 @@
          {"path", request.path},
          {"result", result},
          {"detail", detail},
+         {"waited_ms",
+          std::chrono::duration_cast<milliseconds>(waited).count()},
          {"entry",
           static_cast<std::int64_t>(control_->agreed().chosen_index().value)},
          {"manifest", static_cast<std::int64_t>(
--- a/Source/Runtime/entry_loop.cc
+++ b/Source/Runtime/entry_loop.cc
@@ -236,8 +236,8 @@
 
   void ResetLostFlows() {
     const instant now = Now();
-    for (const flow_packet& flow : entry_.TakeLostFlows()) {
-      Apply(now, flow, {}, reset_caller{forward_reason::kTargetLost});
+    for (const lost_flow& lost : entry_.TakeLostFlows()) {
+      Apply(now, lost.last_packet, {}, reset_caller{lost.reason});
     }
     packet_socket_.Flush();
   }
--- a/Source/Runtime/request_queue.cc
+++ b/Source/Runtime/request_queue.cc
@@ -3,6 +3,8 @@
 #include <memory>
 #include <utility>
 
+#include "Runtime/process_time.h"
+
 namespace lavendertack {
 namespace {
 
@@ -19,9 +21,11 @@
   {
     const std::lock_guard lock(mutex_);
     if (closed_) return StoppingResponse();
-    pending_.push_back({std::move(request), [promise](http_response answer) {
+    pending_.push_back({std::move(request),
+                        [promise](http_response answer) {
                           promise->set_value(std::move(answer));
-                        }});
+                        },
+                        Now()});
   }
   wake_();
   if (future.wait_for(timeout_) != std::future_status::ready) {
--- a/Source/Runtime/request_queue.h
+++ b/Source/Runtime/request_queue.h
@@ -10,6 +10,8 @@
 #include <mutex>
 #include <string>
 
+#include "Common/instant.h"
+
 namespace lavendertack {
 
 struct http_request {
@@ -37,6 +39,7 @@
   struct pending_request {
     http_request request;
     answer_function answer;
+    instant received_at;  // When an HTTP thread had read the request.
   };
 
   // `wake` is called after each request is added, by the thread that adds it.
--- a/Source/UnitTests/Forwarding/flow_router_test.cc
+++ b/Source/UnitTests/Forwarding/flow_router_test.cc
@@ -239,8 +239,9 @@
     SECTION("or before it") {
       const auto flows = setup.router.TakeLostFlows(setup.now, lost);
       REQUIRE(flows.size() == 1);
-      REQUIRE(flows.front().flow == request.flow);
-      REQUIRE(flows.front().acknowledged == request.acknowledged);
+      REQUIRE(flows.front().last_packet.flow == request.flow);
+      REQUIRE(flows.front().last_packet.acknowledged == request.acknowledged);
+      REQUIRE(flows.front().reason == forward_reason::kTargetLost);
       REQUIRE(setup.router.TakeLostFlows(setup.now, lost).empty());
     }
     SECTION("new connections go to other targets") {
