Entry, Control: connections into a data centre are reset only if nothing arrives from it anywhere

Cause: data_centre_reachability took two weak signs as proof that a data centre is cut off: no update of its control instances for 0.8 s, which a frozen, killed or removed one leaves as well, and three unanswered packets without an answer for 0.4 s, which targets that left and few connections leave as well.

Change: the two signs still move new connections. Open ones are reset only if no message of the data centre arrives at any other control instance either. An entry instance asks for that while the control instances of a data centre are silent; the answer tells the time since the last request of an entry instance, report of a target or message of a control instance there. At rest no message grows. The withdrawal of a closed data centre, which without callers took silent control instances as proof, uses the same.

Tests: LostDataCentreTest drives control and entry instances in virtual time.

FleetRunTest "an entry instance of a closed data centre that is cut off" didn't cut the links between the cut off control instance and the entry instances elsewhere, and the simulation delivered pushed updates across the cut; both are cut now. Its bounds are the same.

--- a/Source/Benchmarks/forward_costs.cc
+++ b/Source/Benchmarks/forward_costs.cc
@@ -49,7 +49,7 @@
     state.targets.Apply(now, {"10.0.0.1"}, report);
     tags.push_back(TagOf(report.id));
   }
-  flow_router router(&state, {"a"}, 1);
+  flow_router router(&state, {.own = {"a"}}, 1);
   router.Tick(now);
   std::mt19937 random(1);
   const auto make_packet = [&](std::uint32_t flow_number) {
--- a/Source/Control/control_instance.cc
+++ b/Source/Control/control_instance.cc
@@ -188,6 +188,7 @@
 }
 
 void control_instance::Handle(const target_report_received& event) {
+  activities_.RecordReport(now_, event.report.data_centre);
   const report_result result = targets_.Report(now_, event.report);
   if (result == report_result::kChanged) {
     // A target that changes over from another control instance keeps its
@@ -227,7 +228,13 @@
   if (message.has_agreement()) {
     ReduceAgreement(agreement_message_received{from, message.agreement()});
   } else if (message.has_follow()) {
-    if (message.follow().control()) follower_.AddControlName(now_, from);
+    const data_centre_name data_centre{message.follow().data_centre()};
+    if (message.follow().control()) {
+      follower_.AddControlName(now_, from);
+      activities_.RecordControl(now_, data_centre);
+    } else {
+      activities_.RecordEntry(now_, data_centre);
+    }
     announcements_.RecordRequest(from);
     for (const wire::unanswered_record& row : message.follow().unanswered()) {
       if (row.packets() > 0) {
@@ -237,14 +244,14 @@
       }
     }
     if (settings_.observe_targets) {
-      performance_.AddReport({message.follow().data_centre()},
-                             DecodeOutcomes(message.follow()));
+      performance_.AddReport(data_centre, DecodeOutcomes(message.follow()));
     }
     auto update = feed_.HandleFollow(now_, event.link, message.follow(),
                                      MakeFeedContent());
     effects_.emplace_back(
         send_to_follower{update.to, std::move(update.message)});
   } else if (message.has_update()) {
+    activities_.RecordControl(now_, {message.update().data_centre()});
     for (follower_event& log_event :
          follower_.Apply(now_, from, message.update())) {
       if (const auto* change = std::get_if<target_change>(&log_event)) {
@@ -484,7 +491,8 @@
                        .data_centre = settings_.data_centre,
                        .current = ReachesMajority(now_),
                        .controls = {},
-                       .closed = closures_.Closed()};
+                       .closed = closures_.Closed(),
+                       .activities = activities_};
   for (const auto& [name, control] : follower_.controls()) {
     if (follower_.IsReachable(now_, name)) content.controls.push_back(name);
   }
--- a/Source/Control/control_instance.h
+++ b/Source/Control/control_instance.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "Agreement/agreement.h"
+#include "Control/activity_registry.h"
 #include "Control/data_centre_closures.h"
 #include "Control/follower_feed.h"
 #include "Control/restart_announcements.h"
@@ -237,6 +238,7 @@
   published_state published_;
   agreement agreement_;
   target_registry targets_;
+  activity_registry activities_;
   saved_targets saved_targets_;
   restart_announcements announcements_;
   target_performance performance_;
--- a/Source/Control/follower_feed.cc
+++ b/Source/Control/follower_feed.cc
@@ -101,6 +101,19 @@
   }
 }
 
+void follower_feed::AddActivities(instant now, const wire::follow& request,
+                                  const activity_registry& activities,
+                                  wire::update* update) {
+  for (const std::string& name : request.silent_data_centres()) {
+    const auto activity = activities.Find(now, {name});
+    if (!activity) continue;
+    auto* row = update->add_activities();
+    row->set_data_centre(name);
+    row->set_silent_ms(static_cast<std::uint32_t>(activity->silent.count()));
+    row->set_has_entries(activity->has_entries);
+  }
+}
+
 void follower_feed::RemoveDemand(follower_state* follower) {
   for (const auto& [service, rate] : follower->demand) {
     demand_[{service, follower->data_centre}] -= rate;
@@ -182,6 +195,8 @@
           EncodeTarget(now, target);
     }
   }
+  AddActivities(now, request, content.activities,
+                reply.message.mutable_update());
   if (!follower.control) AddDemand(&follower, reply.message.mutable_update());
   return reply;
 }
--- a/Source/Control/follower_feed.h
+++ b/Source/Control/follower_feed.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "Common/instant.h"
+#include "Control/activity_registry.h"
 #include "Control/sent_cursor.h"
 #include "Manifest/published_state.h"
 #include "Targets/target_registry.h"
@@ -41,6 +42,7 @@
   bool current;  // In contact with a majority of the voters.
   std::vector<instance_name> controls;  // Reachable control instances.
   std::set<data_centre_name> closed;    // Data centres that get no new flows.
+  const activity_registry& activities;
 };
 
 class follower_feed {
@@ -92,6 +94,10 @@
   // Adds the sums of the demand that changed since they were last sent to the
   // follower.
   void AddDemand(follower_state* follower, wire::update* update) const;
+  // Adds what was last received from the data centres that the request names.
+  static void AddActivities(instant now, const wire::follow& request,
+                            const activity_registry& activities,
+                            wire::update* update);
   // Adds the list of control instances if it's due.
   static void AddControls(instant now, const feed_content& content,
                           follower_state* follower, wire::update* update);
--- a/Source/Entry/entry_instance.cc
+++ b/Source/Entry/entry_instance.cc
@@ -49,8 +49,10 @@
                  .is_control = false,
                  .seeds = settings_.seeds,
                  .follow_interval = kFollowInterval}),
-      router_(&follower_.state(), settings_.data_centre, settings_.seed,
-              settings_.link_capacity),
+      router_(&follower_.state(),
+              {.own = settings_.data_centre,
+               .report_interval = settings_.report_interval},
+              settings_.seed, settings_.link_capacity),
       held_(kHeldPacketLimits),
       withdrawal_(settings_.data_centre) {
   router_.set_opening_observer([this](instant now, target_tag tag, instant sent,
@@ -115,7 +117,7 @@
   // Updates that were sent before the request may be older than the pause.
   if (asked_since_resumed_ && message.update().current()) resumed_at_.reset();
   auto events = follower_.Apply(now, {message.from()}, message.update());
-  router_.RecordUpdate(now, {message.update().data_centre()});
+  RecordActivity(now, message.update());
   for (const follower_event& event : events) {
     const auto* change = std::get_if<target_change>(&event);
     if (change == nullptr) continue;
@@ -126,6 +128,15 @@
   return events;
 }
 
+void entry_instance::RecordActivity(instant now, const wire::update& update) {
+  router_.RecordUpdate(now, {update.data_centre()});
+  for (const wire::data_centre_activity& row : update.activities()) {
+    router_.RecordActivity(now, {row.data_centre()},
+                           now - milliseconds(row.silent_ms()),
+                           row.has_entries());
+  }
+}
+
 void entry_instance::ReviewWithdrawal(instant now) {
   const routing_state& known = follower_.state();
   if (!known.has_manifest) return;
@@ -137,6 +148,8 @@
       data_centre_contact& contact = state.others[control.data_centre];
       contact.has_controls = true;
       contact.last_update = std::max(contact.last_update, control.last_update);
+      contact.last_message =
+          router_.reachability().LastMessage(control.data_centre);
     }
     for (const auto& [id, target] : known.targets.targets()) {
       const data_centre_name& name = target->report.data_centre;
@@ -171,8 +184,9 @@
     last_outcome_report_ = now;
     outcomes = router_.outcomes()->TakeReport();
   }
-  auto requests = follower_.Requests(now, router_.demand().Rates(now),
-                                     unanswered, outcomes);
+  auto requests =
+      follower_.Requests(now, router_.demand().Rates(now), unanswered, outcomes,
+                         router_.reachability().HasSuspicion(now));
   if (!requests.empty()) asked_since_resumed_ = true;
   return requests;
 }
@@ -181,8 +195,10 @@
   DetectSuspension(now);
   last_tick_at_ = now;
   router_.Tick(now);
-  const auto unreachable = router_.TakeUnreachableFlows(now);
-  lost_flows_.insert(lost_flows_.end(), unreachable.begin(), unreachable.end());
+  const auto [data_centres, flows] = router_.TakeUnreachableFlows(now);
+  unreachable_.insert(unreachable_.end(), data_centres.begin(),
+                      data_centres.end());
+  lost_flows_.insert(lost_flows_.end(), flows.begin(), flows.end());
   auto events = follower_.Tick(now);
   ReviewWithdrawal(now);
   return events;
--- a/Source/Entry/entry_instance.h
+++ b/Source/Entry/entry_instance.h
@@ -24,6 +24,8 @@
   std::vector<instance_name> seeds;
   // Rate of the network link; unlimited if empty.
   std::optional<bytes_per_s> link_capacity = {};
+  // Time between two reports of a target.
+  milliseconds report_interval{1200};
   // Seed of the random numbers for routing.
   std::uint64_t seed = 0;
   // Time from the stop request until the platform kills the process.
@@ -60,6 +62,10 @@
   std::vector<lost_flow> TakeLostFlows() {
     return std::exchange(lost_flows_, {});
   }
+  // Data centres that have become unreachable since the last call, for the log.
+  std::vector<unreachable_data_centre> TakeUnreachableDataCentres() {
+    return std::exchange(unreachable_, {});
+  }
   // Changes of the withdrawal since the last call, for the log.
   std::vector<withdrawal_change> TakeWithdrawalChanges() {
     return std::exchange(withdrawal_changes_, {});
@@ -102,6 +108,8 @@
  private:
   // Adds the flows of the target to `lost_flows_` if it is lost or replaced.
   void CollectLostFlows(instant now, const target_id& id);
+  // Passes what the update tells about data centres to the router.
+  void RecordActivity(instant now, const wire::update& update);
   // Applies the followed state to the withdrawal.
   void ReviewWithdrawal(instant now);
   // Notes a suspension of the process until `now`, if there was one.
@@ -119,6 +127,7 @@
   flow_router router_;
   held_packets held_;
   std::vector<lost_flow> lost_flows_;
+  std::vector<unreachable_data_centre> unreachable_;
   withdrawal withdrawal_;
   std::vector<withdrawal_change> withdrawal_changes_;
   // When unanswered packets were last reported to the control instances.
--- a/Source/Entry/withdrawal.cc
+++ b/Source/Entry/withdrawal.cc
@@ -8,7 +8,11 @@
 // Control instances that send no update for this long, which is three request
 // intervals of an entry instance, don't answer.
 constexpr milliseconds kControlsTimeout{1500};
-// The same if openings fail too: more than one request interval.
+// Messages of the other data centre at a control instance elsewhere show that
+// it is reachable for this long. They are known here after 1 s at most.
+constexpr milliseconds kMessageTimeout{1250};
+// The same as kControlsTimeout if openings fail too: more than one request
+// interval.
 constexpr milliseconds kControlsTimeoutWithOpenings{750};
 // Openings fail if at least this many in a row went unanswered, to at least
 // this many targets, and none was answered for this long. Fewer may be lost
@@ -205,7 +209,9 @@
   }
   const bool answered =
       seen.last_answered && now - *seen.last_answered < kAnswerValidity;
-  if (controls_silent >= kControlsTimeout && !answered) {
+  const bool is_active =
+      contact.last_message && now - *contact.last_message < kMessageTimeout;
+  if (controls_silent >= kControlsTimeout && !is_active && !answered) {
     return withdrawal_cause::kControlsSilent;
   }
   return std::nullopt;
--- a/Source/Entry/withdrawal.h
+++ b/Source/Entry/withdrawal.h
@@ -3,8 +3,9 @@
 //
 // An open data centre counts as lost when its control instances stop answering
 // or openings to its targets go unanswered. An answered opening proves the
-// contrary, so that neither an outage of the control instances nor lost packets
-// nor a single dead target cause a withdrawal.
+// contrary, as does a message from it at a control instance elsewhere, so that
+// neither an outage of the control instances nor lost packets nor a single dead
+// target cause a withdrawal.
 #ifndef LAVENDERTACK_ENTRY_WITHDRAWAL_H_
 #define LAVENDERTACK_ENTRY_WITHDRAWAL_H_
 
@@ -47,6 +48,8 @@
   bool has_targets = false;   // Targets in it accept new flows.
   // Newest update of its control instances.
   std::optional<instant> last_update;
+  // Newest message from it at any control instance, as far as known.
+  std::optional<instant> last_message = std::nullopt;
 };
 
 // Event: the state as the instance follows it.
--- a/Source/Following/control_follower.cc
+++ b/Source/Following/control_follower.cc
@@ -13,6 +13,11 @@
 // A control instance counts as unreachable after this many request intervals
 // without an update.
 constexpr int kReachableIntervals = 3;
+// Time between two requests while a data centre is suspected to be cut off.
+constexpr milliseconds kSuspicionInterval{250};
+// Control instances send an update twice a second. If those of a data centre
+// send none for this long, the others are asked about the data centre.
+constexpr milliseconds kUpdateSilence{700};
 // Reports relayed by a control instance stay valid for this long after it was
 // lost or restarted: its targets back off before they report to another control
 // instance.
@@ -247,14 +252,20 @@
 
 std::vector<follow_request> control_follower::Requests(
     instant now, const std::map<service_name, requests_per_s>& demand,
-    const unanswered_report& unanswered, const outcome_report& outcomes) {
+    const unanswered_report& unanswered, const outcome_report& outcomes,
+    bool asks_often) {
   std::vector<follow_request> requests;
   InitializeStateSource();
+  const std::set<data_centre_name> silent = SilentDataCentres(now);
   for (auto& [name, control] : controls_) {
     const bool is_retry = !IsReachable(now, name) &&
                           control.unanswered_requests < kMaxRetryRequests;
-    const milliseconds interval =
-        is_retry ? kRetryInterval : settings_.follow_interval;
+    milliseconds interval = settings_.follow_interval;
+    if (is_retry) {
+      interval = kRetryInterval;
+    } else if (asks_often) {
+      interval = std::min(interval, kSuspicionInterval);
+    }
     if (unanswered.empty() && outcomes.empty() && control.last_request &&
         now - *control.last_request < interval) {
       continue;
@@ -283,12 +294,31 @@
       row->set_tag(tag.value);
       row->set_packets(packets);
     }
+    for (const data_centre_name& data_centre : silent) {
+      follow->add_silent_data_centres(data_centre.value);
+    }
     EncodeOutcomes(outcomes, follow);
     requests.push_back({name, std::move(message)});
   }
   return requests;
 }
 
+std::set<data_centre_name> control_follower::SilentDataCentres(
+    instant now) const {
+  std::set<data_centre_name> silent;
+  if (settings_.is_control) return silent;
+  for (const auto& [name, control] : controls_) {
+    if (control.last_update) silent.insert(control.data_centre);
+  }
+  for (const auto& [name, control] : controls_) {
+    if (control.last_update && now - *control.last_update < kUpdateSilence) {
+      silent.erase(control.data_centre);
+    }
+  }
+  silent.erase(settings_.data_centre);
+  return silent;
+}
+
 void control_follower::RequestNotSent(const instance_name& to) {
   auto it = controls_.find(to);
   if (it == controls_.end() || !it->second.last_request) return;
--- a/Source/Following/control_follower.h
+++ b/Source/Following/control_follower.h
@@ -116,11 +116,13 @@
                                     const wire::update& update);
   // Returns the requests that are due at `now`. `demand` is the rate of
   // callers' requests at this instance; rates below `kMinDemand` aren't sent.
-  // If `unanswered` or `outcomes` isn't empty, all requests are due.
+  // If `unanswered` or `outcomes` isn't empty, all requests are due. With
+  // `asks_often` they are due more often than usual, as what the control
+  // instances know about silent data centres is needed.
   std::vector<follow_request> Requests(
       instant now, const std::map<service_name, requests_per_s>& demand,
       const unanswered_report& unanswered = {},
-      const outcome_report& outcomes = {});
+      const outcome_report& outcomes = {}, bool asks_often = false);
   // Call it when a request couldn't be sent, as there is no connection to the
   // control instance: it's due again with the next call of `Requests`.
   void RequestNotSent(const instance_name& to);
@@ -170,6 +172,8 @@
   // reports; packets of its open flows are forwarded.
   void LimitRestoredReport(instant now, target_report* report) const;
   void UpdateClosed(instant now);
+  // Other data centres of which no control instance sends updates any more.
+  std::set<data_centre_name> SilentDataCentres(instant now) const;
   // Chooses the first control instance to request the published state from.
   void InitializeStateSource();
   // Requests the published state from `from`, which has announced a newer one,
--- a/Source/Forwarding/flow_router.cc
+++ b/Source/Forwarding/flow_router.cc
@@ -82,16 +82,17 @@
 }
 
 flow_router::flow_router(const routing_state* state,
-                         data_centre_name own_data_centre, std::uint64_t seed,
+                         reachability_settings reachability, std::uint64_t seed,
                          std::optional<bytes_per_s> link_capacity)
     : state_(state),
-      own_data_centre_(std::move(own_data_centre)),
+      own_data_centre_(reachability.own),
       random_(seed),
       demand_(kDemandWindow),
       recent_demand_(kRecentDemandWindow),
       recent_highest_demand_(kRecentDemandWindow),
       link_(link_capacity),
-      attempts_(kMaxAttempts) {
+      attempts_(kMaxAttempts),
+      reachability_(std::move(reachability)) {
   target_selector_ =
       [this](instant now, const std::vector<const known_target*>& candidates) {
         return SelectLessLoaded(now, candidates);
@@ -127,7 +128,10 @@
   if (auto previous = attempts_.Remove(packet.flow)) {
     load_.ChangePending(now, previous->tag, -1);
     if (packet.retransmission > 0) {
-      RecordUnansweredOpening(previous->tag);
+      if (const known_target* silent =
+              state_->targets.FindByTag(previous->tag)) {
+        RecordUnanswered(now, *silent);
+      }
       unanswered = previous->tag;
       if (!previous->overdue) {
         load_.RecordUnanswered(now, unanswered);
@@ -186,7 +190,7 @@
     flows_.Remove(packet.flow);
     return reset_caller{forward_reason::kTargetLost};
   }
-  if (IsUnreachable(now, *target)) {
+  if (reachability_.IsUnreachable(now, target->report.data_centre)) {
     flows_.Remove(packet.flow);
     return reset_caller{forward_reason::kUnreachable};
   }
@@ -254,7 +258,7 @@
   switch (progress) {
     case request_progress::kRetransmitted:
       unanswered_.RecordUnanswered(packet.tag);
-      reachability_.RecordUnanswered(target.report.data_centre);
+      RecordUnanswered(now, target);
       break;
     case request_progress::kAnswered:
       load_.RecordProgress(now, packet.tag);
@@ -272,35 +276,36 @@
          !load_.HasAnsweredSince(now - kAnswerMemory, target.tag);
 }
 
-void flow_router::RecordUnansweredOpening(target_tag tag) {
-  if (const known_target* target = state_->targets.FindByTag(tag)) {
-    reachability_.RecordUnanswered(target->report.data_centre);
-  }
+void flow_router::RecordUnanswered(instant now, const known_target& target) {
+  // Targets that have ended say nothing about their data centre.
+  if (target.IsTerminated() || target.IsLost(now)) return;
+  reachability_.RecordUnanswered(target.report.data_centre);
 }
 
-bool flow_router::IsUnreachable(instant now, const known_target& target) const {
-  return target.report.data_centre != own_data_centre_ &&
-         reachability_.IsUnreachable(now, target.report.data_centre);
+bool flow_router::IsSuspected(instant now,
+                              const data_centre_name& data_centre) const {
+  return data_centre != own_data_centre_ &&
+         reachability_.IsSuspected(now, data_centre);
 }
 
 void flow_router::TakeFlowsOf(instant now, const known_target& target,
                               forward_reason reason,
                               std::vector<lost_flow>* lost) {
-  for (flow_packet& packet : flows_.TakeFlowsOf(now, target.tag)) {
-    lost->push_back({std::move(packet), reason});
+  for (const flow_packet& packet : flows_.TakeFlowsOf(now, target.tag)) {
+    lost->push_back({packet, reason});
   }
 }
 
-std::vector<lost_flow> flow_router::TakeUnreachableFlows(instant now) {
-  std::vector<lost_flow> flows;
-  for (const data_centre_name& name : reachability_.TakeLost(now)) {
-    if (name == own_data_centre_) continue;
+unreachable_flows flow_router::TakeUnreachableFlows(instant now) {
+  unreachable_flows taken{.data_centres = reachability_.TakeUnreachable(now),
+                          .flows = {}};
+  for (const unreachable_data_centre& unreachable : taken.data_centres) {
     for (const auto& [id, target] : state_->targets.targets()) {
-      if (target->report.data_centre != name) continue;
-      TakeFlowsOf(now, *target, forward_reason::kUnreachable, &flows);
+      if (target->report.data_centre != unreachable.name) continue;
+      TakeFlowsOf(now, *target, forward_reason::kUnreachable, &taken.flows);
     }
   }
-  return flows;
+  return taken;
 }
 
 std::vector<lost_flow> flow_router::TakeLostFlows(instant now,
@@ -351,7 +356,7 @@
     const bool is_suspect = is_failing || target->tag == unanswered ||
                             target->IsLost(now) ||
                             load_.IsSuspect(now, target->tag) ||
-                            IsUnreachable(now, *target) || IsSkipped(*target);
+                            IsSuspected(now, data_centre) || IsSkipped(*target);
     if (is_suspect) {
       suspects_.push_back(target);
     } else {
--- a/Source/Forwarding/flow_router.h
+++ b/Source/Forwarding/flow_router.h
@@ -70,13 +70,20 @@
   forward_reason reason{};
 };
 
+// The data centres that have become unreachable, and the recent flows of their
+// targets.
+struct unreachable_flows {
+  std::vector<unreachable_data_centre> data_centres;
+  std::vector<lost_flow> flows;
+};
+
 // Routes the packets of one entry instance.
 class flow_router {
  public:
-  // `state` must outlive the router. `own_data_centre` is the data centre of
-  // the callers that use this instance. `link_capacity` is the rate of its
-  // network link; unlimited if empty.
-  flow_router(const routing_state* state, data_centre_name own_data_centre,
+  // `state` must outlive the router. The own data centre in `reachability` is
+  // that of the callers that use this instance. `link_capacity` is the rate of
+  // its network link; unlimited if empty.
+  flow_router(const routing_state* state, reachability_settings reachability,
               std::uint64_t seed,
               std::optional<bytes_per_s> link_capacity = std::nullopt);
 
@@ -144,9 +151,16 @@
   void RecordUpdate(instant now, const data_centre_name& data_centre) {
     reachability_.RecordUpdate(now, data_centre);
   }
+  // A control instance tells when it received the last message from another
+  // data centre; see data_centre_reachability.
+  void RecordActivity(instant now, const data_centre_name& data_centre,
+                      instant received, bool has_entries) {
+    reachability_.RecordActivity(now, data_centre, received, has_entries);
+  }
+  const data_centre_reachability& reachability() const { return reachability_; }
   // Returns the same for the targets of all data centres that have become
   // unreachable since the last call.
-  std::vector<lost_flow> TakeUnreachableFlows(instant now);
+  unreachable_flows TakeUnreachableFlows(instant now);
   // Time from the last opening packet of a connection to the caller's next
   // packet, which confirms that the target has accepted it.
   const latency_histogram& connect_latency() const { return connect_latency_; }
@@ -174,13 +188,13 @@
                        target_tag tag);
   // Whether the target is lost, also as far as this instance has observed.
   bool IsLost(instant now, const known_target& target) const;
-  // An opening packet to the target with the tag went unanswered.
-  void RecordUnansweredOpening(target_tag tag);
+  // The target has left a packet unanswered.
+  void RecordUnanswered(instant now, const known_target& target);
   // Appends the recent flows of the target to `lost`.
   void TakeFlowsOf(instant now, const known_target& target,
                    forward_reason reason, std::vector<lost_flow>* lost);
-  // Whether the target is in another data centre that can't be reached.
-  bool IsUnreachable(instant now, const known_target& target) const;
+  // Whether new flows should go to targets in other data centres.
+  bool IsSuspected(instant now, const data_centre_name& data_centre) const;
   // Draws a service at random, by the weights of the route's shares.
   const service_name& PickService(const route& matched_route);
   // Draws whether a target with a reduced weight is left out of the candidates
--- a/Source/Runtime/entry_loop.cc
+++ b/Source/Runtime/entry_loop.cc
@@ -44,6 +44,7 @@
           .data_centre = from.data_centre,
           .seeds = ControlNames(from.seeds),
           .link_capacity = LinkCapacity(from),
+          .report_interval = from.heartbeat_interval,
           .seed = RandomNumber(),
           .stop_within = from.stop_within,
           .observe_targets = from.observe_targets};
@@ -146,6 +147,10 @@
     }
     entry_.SetWallClock(now, milliseconds(UnixMilliseconds()));
     for (const auto& event : entry_.Tick(now)) LogFollowerEvent(&log_, event);
+    for (const auto& unreachable : entry_.TakeUnreachableDataCentres()) {
+      ++counts_.unreachable_data_centres;
+      LogUnreachable(unreachable);
+    }
     refused_callers_log_.Tick(now, &entry_.callers(), &log_);
     for (const follow_request& request : entry_.Requests(now)) {
       if (!links_.Send(now, request.to, request.message)) {
@@ -157,6 +162,16 @@
     log_.Tick(now);
   }
 
+  void LogUnreachable(const unreachable_data_centre& unreachable) {
+    log_.Write(
+        "data_centre_unreachable",
+        {{"data_centre", unreachable.name.value},
+         {"silent_ms", unreachable.silent.count()},
+         {"answers_silent_ms", unreachable.answers_silent.count()},
+         {"unanswered", static_cast<std::int64_t>(unreachable.unanswered)},
+         {"confirmed", unreachable.is_confirmed}});
+  }
+
   void LogWithdrawal(const withdrawal_change& change) {
     log_.Write("withdrawal",
                {{"from", ToString(change.from)},
--- a/Source/Runtime/fleet_queries.cc
+++ b/Source/Runtime/fleet_queries.cc
@@ -122,6 +122,10 @@
                       "Refused opening packets that were dropped because the "
                       "reset had no room on the link.",
                       view.counts.resets_left_out);
+  out.AddSingleSample("data_centres_unreachable_total", "counter",
+                      "Times that another data centre became unreachable, so "
+                      "that open connections into it were reset.",
+                      view.counts.unreachable_data_centres);
   out.BeginFamily("link_budget_fill_percent", "gauge",
                   "Bytes that can be sent, as a share of the link budget; "
                   "negative if it is overdrawn.");
--- a/Source/Runtime/fleet_queries.h
+++ b/Source/Runtime/fleet_queries.h
@@ -27,6 +27,8 @@
   // Refused opening packets that were dropped because their reset had no room
   // on the link.
   std::uint64_t resets_left_out = 0;
+  // Times that another data centre became unreachable.
+  std::uint64_t unreachable_data_centres = 0;
 };
 
 // Counters of a control instance's event loop.
--- a/Source/UnitTests/Control/fleet_run_test.cc
+++ b/Source/UnitTests/Control/fleet_run_test.cc
@@ -454,6 +454,9 @@
   REQUIRE(is_ready());
   fleet.Partition({0}, false);
   fleet.IsolateEntry(kEntry, {0});
+  for (const std::size_t other : {1, 2}) {
+    fleet.IsolateEntry(other, {1, 2, 3});
+  }
   fleet.Run(milliseconds(1550));
   REQUIRE_FALSE(is_ready());
   REQUIRE(fleet.entry(1).IsReady(fleet.Now()));
--- a/Source/UnitTests/Control/fleet_simulation.cc
+++ b/Source/UnitTests/Control/fleet_simulation.cc
@@ -184,11 +184,7 @@
   node.instance->Tick(Now());
   for (follow_request& request : node.instance->Requests(Now())) {
     if (auto to = FindControl(request.to)) {
-      const auto isolated = reachable_by_entry_.find(i);
-      if (isolated != reachable_by_entry_.end() &&
-          !isolated->second.contains(*to)) {
-        continue;
-      }
+      if (!IsReachable(i, *to)) continue;
       const link_id link{"entry " + std::to_string(i) + " " +
                          std::to_string(incarnation) + " " + request.to.value};
       queue_.ScheduleAfter(Delay(),
@@ -213,6 +209,13 @@
   return blocked_links_.contains({from, to});
 }
 
+bool fleet_simulation::IsReachable(std::size_t entry,
+                                   std::size_t control) const {
+  const auto isolated = reachable_by_entry_.find(entry);
+  return isolated == reachable_by_entry_.end() ||
+         isolated->second.contains(control);
+}
+
 void fleet_simulation::Dispatch(std::size_t i, const control_event& event) {
   control_node& node = controls_[i];
   try {
@@ -337,7 +340,9 @@
     return;
   }
   std::uint64_t incarnation = 0;
-  words >> incarnation;
+  std::string control;
+  words >> incarnation >> control;
+  if (!IsReachable(i, *FindControl({control}))) return;
   if (entries_[i].incarnation == incarnation) DeliverToEntry(i, message);
 }
 
--- a/Source/UnitTests/Control/fleet_simulation.h
+++ b/Source/UnitTests/Control/fleet_simulation.h
@@ -108,6 +108,7 @@
     return controls_[control].instance != nullptr;
   }
   std::size_t control_count() const { return controls_.size(); }
+  std::size_t entry_count() const { return entries_.size(); }
   control_instance& control(std::size_t i) { return *controls_[i].instance; }
   entry_instance& entry(std::size_t i) { return *entries_[i].instance; }
   std::uint64_t newest_acknowledged() const { return newest_acknowledged_; }
@@ -170,6 +171,8 @@
   // Delivers an answer to the instance whose kind and index are in `to`.
   void DeliverReply(const link_id& to, const wire::fleet_message& message);
   bool IsBlocked(std::size_t from, std::size_t to) const;
+  // Whether the entry instance and the control instance exchange messages.
+  bool IsReachable(std::size_t entry, std::size_t control) const;
   // Random latency of a message, from 1 to 9 ms.
   microseconds Delay();
   // Time until a message between two control instances has arrived, with the
--- a/Source/UnitTests/Entry/withdrawal_test.cc
+++ b/Source/UnitTests/Entry/withdrawal_test.cc
@@ -76,6 +76,9 @@
   reachability controls_answer = IsAny;
   reachability targets_answer = IsAny;
   bool has_callers = true;
+  // The entry instances of the other data centres follow the control instance
+  // of data centre a.
+  bool others_are_active = false;
   // Openings since the start, by the reason of the decision.
   std::map<std::string, int> openings;
   int readiness_changes = 0;
@@ -145,6 +148,11 @@
     }
     for (const std::string& other : kDataCentres) {
       update->add_controls("control-" + other);
+      if (!others_are_active || other == "a" || name != "a") continue;
+      auto* activity = update->add_activities();
+      activity->set_data_centre(other);
+      activity->set_silent_ms(500);
+      activity->set_has_entries(true);
     }
     auto* route = update->add_routes();
     route->set_ip(kRouteAddress.ip.value);
@@ -256,6 +264,12 @@
     fleet.controls_answer = entry_with_neighbours::IsOwn;
     fleet.Run(seconds(20));
   }
+  SECTION("the same without callers, as other messages of them arrive") {
+    fleet.controls_answer = entry_with_neighbours::IsOwn;
+    fleet.others_are_active = true;
+    fleet.has_callers = false;
+    fleet.Run(seconds(20));
+  }
   SECTION("no control instance answers") {
     fleet.controls_answer = [](const std::string&) { return false; };
     fleet.Run(seconds(20));
