Control: an order to close or open a data centre isn't carried out once its caller has given up

A control instance that woke from a freeze carried out a DELETE that its operator had given up, sent to another instance, and followed by a confirmed POST.

Cause: such orders have no number, and nothing compared their age with that of later ones. Evidence: after the wake, core-1 logs order DELETE /evacuations/z1 result=done waited_ms=101, and state_published with no closed data centre. The other hypotheses, a value accepted before the freeze and an entry instance with an older state, would show no such line.

Change: the order is proposed only for 1 s after it was read, which is how long callers wait, not within 1 s of a suspension, and not after the caller has closed the connection. The same for the notice that a target has ended. Each such order gets an entry in the log, also if it changes nothing: it was confirmed without one, and a value that only a minority had accepted could be completed afterwards.

What it gives up: for 1 s after a suspension a wanted order is answered 503 and goes to another instance; an order 1.05 s after it is carried out (test).

--- a/Source/Agreement/agreement.cc
+++ b/Source/Agreement/agreement.cc
@@ -112,6 +112,8 @@
   }
   if (const auto* propose = std::get_if<propose_entry>(&event)) {
     Propose(*propose);
+  } else if (const auto* withdraw = std::get_if<withdraw_proposal>(&event)) {
+    Withdraw(*withdraw);
   } else if (const auto* received =
                  std::get_if<agreement_message_received>(&event)) {
     Receive(received->from, received->message);
@@ -170,12 +172,17 @@
     return;
   }
   pending_proposals_.push_back(
-      {event.id, event.value, now_ + kProposalTimeout});
+      {event.id, event.value,
+       event.expires_at.value_or(now_ + kProposalTimeout)});
   if (round_.step == round_phase::kIdle && IsBootstrapped() && !IsDeferring()) {
     StartRound();
   }
 }
 
+void agreement::Withdraw(const withdraw_proposal& event) {
+  DropProposals([&](const auto& proposal) { return proposal.id == event.id; });
+}
+
 void agreement::Receive(const instance_name& from,
                         const wire::agreement_message& message) {
   const storage_id storage{message.storage_id()};
@@ -248,12 +255,18 @@
 }
 
 void agreement::ExpireProposals() {
-  const bool voting = IsVoting();
-  while (!pending_proposals_.empty() &&
-         (!voting || pending_proposals_.front().expires_at <= now_)) {
-    effects_.emplace_back(proposal_timed_out{pending_proposals_.front().id});
-    pending_proposals_.pop_front();
-  }
+  DropProposals([this, is_voting = IsVoting()](const auto& proposal) {
+    return !is_voting || proposal.expires_at <= now_;
+  });
+}
+
+void agreement::DropProposals(
+    const std::function<bool(const pending_proposal&)>& is_dropped) {
+  std::erase_if(pending_proposals_, [&](const pending_proposal& proposal) {
+    if (!is_dropped(proposal)) return false;
+    effects_.emplace_back(proposal_timed_out{proposal.id});
+    return true;
+  });
 }
 
 bool agreement::ShouldStartRound() const {
@@ -520,6 +533,7 @@
   // No acceptor of the quorum has accepted a value for this index, so every
   // entry that could have been chosen is in the log and the hook decides on the
   // newest state.
+  ExpireProposals();
   while (!pending_proposals_.empty() &&
          !hooks_.admit(pending_proposals_.front().value)) {
     effects_.emplace_back(proposal_refused{pending_proposals_.front().id});
--- a/Source/Agreement/agreement.h
+++ b/Source/Agreement/agreement.h
@@ -86,6 +86,13 @@
 struct propose_entry {
   proposal_id id;
   std::string value;
+  // The value isn't proposed after this time; empty for the default timeout.
+  std::optional<instant> expires_at = std::nullopt;
+};
+// The value of a proposal isn't wanted any more: it isn't proposed unless that
+// has happened already. Answered by `proposal_timed_out` if it is pending.
+struct withdraw_proposal {
+  proposal_id id;
 };
 // A message arrived from another instance.
 struct agreement_message_received {
@@ -100,8 +107,8 @@
 // The log file is writable again. The in-memory state is written to it.
 struct storage_restored {};
 using agreement_event =
-    std::variant<propose_entry, agreement_message_received, agreement_tick,
-                 storage_failed, storage_restored>;
+    std::variant<propose_entry, withdraw_proposal, agreement_message_received,
+                 agreement_tick, storage_failed, storage_restored>;
 
 // Effects.
 
@@ -232,6 +239,7 @@
   };
 
   void Propose(const propose_entry& event);
+  void Withdraw(const withdraw_proposal& event);
   void Receive(const instance_name& from,
                const wire::agreement_message& message);
   void UpdatePeerProgress(const instance_name& from,
@@ -239,7 +247,12 @@
   void Tick();
   void HandleStorageFailure();
   void HandleStorageRestored();
+  // Drops the pending proposals that have expired, or all of them while this
+  // instance doesn't vote.
   void ExpireProposals();
+  // Drops the pending proposals for which the predicate holds.
+  void DropProposals(
+      const std::function<bool(const pending_proposal&)>& is_dropped);
   bool ShouldStartRound() const;
   void SendProgress();
   void StartRound();
--- a/Source/Control/control_instance.cc
+++ b/Source/Control/control_instance.cc
@@ -42,6 +42,9 @@
 constexpr milliseconds kReopenMargin{500};
 // A longer gap between two ticks means that the process was suspended.
 constexpr milliseconds kSuspensionThreshold{500};
+// Callers wait this long for an answer before they send the call to another
+// control instance.
+constexpr milliseconds kCallLifetime{1000};
 
 }  // namespace
 
@@ -115,6 +118,7 @@
   now_ = now;
   effects_.clear();
   if (!started_at_) started_at_ = now;
+  DetectSuspension();
   std::visit([this](const auto& e) { Handle(e); }, event);
   HandlePublishedChange();
   // Followers that got an update within the minimum push interval get the
@@ -144,6 +148,19 @@
   return phase == target_phase::kReady || ReachesMajority(now);
 }
 
+bool control_instance::IsTimely(instant now, instant received_at) const {
+  const bool was_suspended =
+      (last_tick_at_ && now - *last_tick_at_ > kSuspensionThreshold) ||
+      (resumed_at_ && now - *resumed_at_ < kCallLifetime);
+  return !was_suspended && now - received_at < kCallLifetime;
+}
+
+void control_instance::DetectSuspension() {
+  if (last_tick_at_ && now_ - *last_tick_at_ > kSuspensionThreshold) {
+    resumed_at_ = now_;
+  }
+}
+
 std::size_t control_instance::DesiredVoterCount() const {
   return std::max<std::size_t>(VotersToSurvive(settings_.tolerated_losses),
                                VotersToSurvive(1));
@@ -168,9 +185,28 @@
       now_ - *started_at_ < kMaxWaitForVoters) {
     return answer(order_outcome_unknown{"waiting for enough voters"});
   }
+  // A manifest has a version, so a late one changes nothing. An order to close
+  // or open a data centre would undo a later one.
+  std::optional<instant> expires_at;
+  if (std::holds_alternative<set_evacuation>(event.order)) {
+    const instant received_at = event.received_at.value_or(now_);
+    if (!IsTimely(now_, received_at)) {
+      return answer(order_outcome_unknown{"the order may be outdated"});
+    }
+    expires_at = received_at + kCallLifetime;
+  }
   const proposal_id id{++next_proposal_};
   pending_calls_[id] = event.call;
-  ReduceAgreement(propose_entry{id, EncodeOrder(random_(), event.order)});
+  ReduceAgreement(
+      propose_entry{id, EncodeOrder(random_(), event.order), expires_at});
+}
+
+void control_instance::Handle(const operator_call_abandoned& event) {
+  const auto it = std::find_if(
+      pending_calls_.begin(), pending_calls_.end(),
+      [&](const auto& entry) { return entry.second == event.call; });
+  if (it == pending_calls_.end()) return;
+  ReduceAgreement(withdraw_proposal{it->first});
 }
 
 std::optional<instance_name> control_instance::ReachableVoter() const {
--- a/Source/Control/control_instance.h
+++ b/Source/Control/control_instance.h
@@ -60,6 +60,12 @@
 struct operator_order_received {
   operator_call call;
   published_order order;
+  // When the call was read from its connection; empty for right now.
+  std::optional<instant> received_at = std::nullopt;
+};
+// The operator no longer waits for the answer to the call.
+struct operator_call_abandoned {
+  operator_call call;
 };
 // A target sent a report of its state.
 struct target_report_received {
@@ -81,9 +87,9 @@
   std::vector<instance_name> seeds;
 };
 using control_event =
-    std::variant<operator_order_received, target_report_received, target_ended,
-                 control_message_received, control_tick, seeds_changed,
-                 storage_failed, storage_restored>;
+    std::variant<operator_order_received, operator_call_abandoned,
+                 target_report_received, target_ended, control_message_received,
+                 control_tick, seeds_changed, storage_failed, storage_restored>;
 
 // Outcomes of an operator's call.
 
@@ -192,10 +198,18 @@
   // target that isn't ready any more while this instance isn't in contact with
   // a majority: the target should report to another control instance.
   bool CanConfirmReport(instant now, target_phase phase) const;
+  // Whether the caller may still wait for the answer to a call that was read at
+  // `received_at`. Otherwise it has sent the call to another control instance,
+  // and later calls may contradict it. False also right after a suspension of
+  // this process, since the call may have waited in the socket.
+  bool IsTimely(instant now, instant received_at) const;
 
  private:
   agreement_hooks Hooks();
+  // Notes a suspension of the process until now, if there was one.
+  void DetectSuspension();
   void Handle(const operator_order_received& event);
+  void Handle(const operator_call_abandoned& event);
   void Handle(const target_report_received& event);
   void Handle(const target_ended& event);
   void Handle(const control_message_received& event);
@@ -254,6 +268,7 @@
   std::optional<instant> started_at_;
   std::optional<instant> last_plan_at_;
   std::optional<instant> last_tick_at_;
+  std::optional<instant> resumed_at_;  // End of the last suspension.
   // Revision of the entry instances in `feed_` that was last saved.
   std::uint64_t saved_entry_revision_ = 0;
   // Revision of `targets_` that was last pushed.
--- a/Source/Manifest/published_state.cc
+++ b/Source/Manifest/published_state.cc
@@ -72,10 +72,7 @@
   if (decoded.has_manifest()) {
     return decoded.manifest().version() > manifest_.version.value;
   }
-  if (decoded.has_evacuation()) {
-    const auto& order = decoded.evacuation();
-    return order.closed() != closed_.contains({order.data_centre()});
-  }
+  if (decoded.has_evacuation()) return true;
   return decoded.has_replicas() && IsApplicable(voters_, decoded.replicas());
 }
 
@@ -96,12 +93,10 @@
   }
   if (decoded.has_evacuation()) {
     const data_centre_name name{decoded.evacuation().data_centre()};
-    if (decoded.evacuation().closed()) {
-      closed_.insert(name);
-    } else {
-      closed_.erase(name);
-    }
-    last_changed_index_ = index;
+    const bool is_changed = decoded.evacuation().closed()
+                                ? closed_.insert(name).second
+                                : closed_.erase(name) > 0;
+    if (is_changed) last_changed_index_ = index;
     return;
   }
   Publish(index, decoded.manifest());
--- a/Source/Manifest/published_state.h
+++ b/Source/Manifest/published_state.h
@@ -57,7 +57,9 @@
   explicit published_state(manifest_decoder decode)
       : decode_(std::move(decode)) {}
 
-  // Whether the encoded order would change the state as the next entry.
+  // Whether the encoded order is valid as the next entry. An order that closes
+  // or opens a data centre always is, even if it changes nothing: its entry
+  // makes sure that no order from before it takes effect later.
   bool CanApply(const std::string& entry) const;
   // Applies the agreed entry at `index`; ignores an order that changes nothing.
   void Apply(log_index index, const std::string& entry);
--- a/Source/Runtime/control_loop.cc
+++ b/Source/Runtime/control_loop.cc
@@ -105,6 +105,7 @@
     next_tick_ = Now();
     while (signals_->stop == 0) {
       links_.Wait({wake_file_, queries_.file()}, next_tick_);
+      WithdrawAbandonedCalls();
       links_.Receive(Now(), [this](const link_id& link, auto message) {
         Dispatch(control_message_received{link, std::move(message)});
       });
@@ -133,6 +134,7 @@
   struct pending_call {
     http_request request;
     bool is_read = false;
+    bool is_evacuation = false;
     request_queue::answer_function answer;
     instant received_at;
   };
@@ -242,6 +244,20 @@
     disk_failure_pending_ = true;
   }
 
+  // An order to close or open a data centre isn't carried out any more once its
+  // operator has left: it may have sent later orders to other instances.
+  void WithdrawAbandonedCalls() {
+    std::vector<operator_call> abandoned;
+    for (const auto& [call, pending] : pending_calls_) {
+      if (pending.is_evacuation && pending.request.is_abandoned()) {
+        abandoned.push_back(call);
+      }
+    }
+    for (const operator_call call : abandoned) {
+      Dispatch(operator_call_abandoned{call});
+    }
+  }
+
   void HandleCalls() {
     eventfd_t ignored = 0;
     eventfd_read(wake_file_, &ignored);
@@ -265,17 +281,33 @@
       pending->answer(adapter_.calls.answer_report(
           control_->CanConfirmReport(Now(), phase)));
     } else if (auto* ended = std::get_if<target_ended>(&call)) {
+      if (pending->request.is_abandoned() ||
+          !control_->IsTimely(Now(), pending->received_at)) {
+        log_.Write("target_end_outdated", {{"target", ended->id.value}});
+        pending->answer(adapter_.calls.answer_report(false));
+        return;
+      }
       Dispatch(std::move(*ended));
       pending->answer(adapter_.calls.answer_report(
           control_->CanConfirmReport(Now(), target_phase::kGone)));
     } else {
       auto& order = std::get<published_order>(call);
       const operator_call id{++last_call_id_};
-      pending_calls_[id] = {std::move(pending->request),
-                            std::holds_alternative<read_published>(order),
-                            std::move(pending->answer), pending->received_at};
+      pending_calls_[id] = {
+          .request = std::move(pending->request),
+          .is_read = std::holds_alternative<read_published>(order),
+          .is_evacuation = std::holds_alternative<set_evacuation>(order),
+          .answer = std::move(pending->answer),
+          .received_at = pending->received_at};
       pending_calls_[id].request.body.clear();
-      Dispatch(operator_order_received{id, std::move(order)});
+      if (pending_calls_[id].is_evacuation &&
+          pending_calls_[id].request.is_abandoned()) {
+        Apply(answer_operator{id,
+                              order_outcome_unknown{"the operator has left"}});
+        return;
+      }
+      Dispatch(
+          operator_order_received{id, std::move(order), pending->received_at});
     }
   }
 
--- a/Source/Runtime/http_server.cc
+++ b/Source/Runtime/http_server.cc
@@ -7,15 +7,47 @@
 #include <cxxtools/http/server.h>
 #include <cxxtools/http/service.h>
 #include <cxxtools/regex.h>
+#include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <istream>
+#include <mutex>
 #include <ostream>
 #include <utility>
 
+#include "Runtime/http_socket.h"
+
 namespace lavendertack {
 namespace {
 
+// The connection of a caller that waits for an answer.
+class caller_connection {
+ public:
+  explicit caller_connection(int file) : file_(file) {}
+
+  // Call it before the socket may be closed or used for another request.
+  void Release() {
+    const std::lock_guard lock(mutex_);
+    file_ = -1;
+  }
+  // Whether the caller has closed the connection, or was released. A caller
+  // that only closes its sending side counts as gone too.
+  bool IsClosed() const {
+    const std::lock_guard lock(mutex_);
+    if (file_ < 0) return true;
+    char byte = 0;
+    const ssize_t read = recv(file_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (read >= 0) return read == 0;
+    return errno == ECONNRESET || errno == ENOTCONN || errno == EPIPE ||
+           errno == ETIMEDOUT;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  int file_;
+};
+
 // Shared by all responders.
 struct http_context {
   http_limits limits;
@@ -28,6 +60,12 @@
                     const http_context& context)
       : cxxtools::http::Responder(service), context_(context) {}
 
+  void beginRequest(cxxtools::net::TcpSocket& socket, std::istream& in,
+                    cxxtools::http::Request& request) override {
+    cxxtools::http::Responder::beginRequest(socket, in, request);
+    file_ = FileOf(socket);
+  }
+
   std::size_t readBody(std::istream& in) override {
     if (body_bytes_ <= context_.limits.body_bytes) {
       const std::size_t read = cxxtools::http::Responder::readBody(in);
@@ -56,15 +94,20 @@
  private:
   http_response Answer(const cxxtools::http::Request& from) const {
     const char* authorization = from.getHeader("Authorization");
-    return context_.handler(
+    const auto connection = std::make_shared<caller_connection>(file_);
+    http_response answer = context_.handler(
         {.method = from.method(),
          .path = from.url(),
          .body = from.bodyStr(),
          .authorization = authorization == nullptr ? "" : authorization,
-         .too_large = body_bytes_ > context_.limits.body_bytes});
+         .too_large = body_bytes_ > context_.limits.body_bytes,
+         .is_abandoned = [connection] { return connection->IsClosed(); }});
+    connection->Release();
+    return answer;
   }
 
   const http_context& context_;
+  int file_ = -1;  // Socket of the connection.
   std::size_t body_bytes_ = 0;
 };
 
--- a/Source/Runtime/request_queue.h
+++ b/Source/Runtime/request_queue.h
@@ -20,6 +20,9 @@
   std::string body;
   std::string authorization;  // Value of the Authorization header.
   bool too_large = false;     // The body exceeded the limit and was dropped.
+  // Whether the caller has closed the connection, or was answered. May be
+  // called by any thread.
+  std::function<bool()> is_abandoned = [] { return false; };
 };
 struct http_response {
   unsigned status = 200;
--- a/Source/UnitTests/Control/fleet_simulation.cc
+++ b/Source/UnitTests/Control/fleet_simulation.cc
@@ -360,16 +360,22 @@
   node.applied = applied;
 }
 
-void fleet_simulation::SubmitOrder(std::size_t i, const published_order& order,
-                                   outcome_callback done) {
+operator_call fleet_simulation::SubmitOrder(std::size_t i,
+                                            const published_order& order,
+                                            outcome_callback done) {
   control_node& node = controls_[i];
+  const operator_call call{++next_call_};
   if (node.instance == nullptr || Now() < node.paused_until) {
     done(order_outcome_unknown{"down"});
-    return;
+    return call;
   }
-  const operator_call call{++next_call_};
   node.calls[call] = std::move(done);
   Dispatch(i, operator_order_received{call, order});
+  return call;
+}
+
+void fleet_simulation::AbandonCall(std::size_t i, operator_call call) {
+  Dispatch(i, operator_call_abandoned{call});
 }
 
 void fleet_simulation::Publish(std::size_t i, std::uint64_t version,
--- a/Source/UnitTests/Control/fleet_simulation.h
+++ b/Source/UnitTests/Control/fleet_simulation.h
@@ -59,8 +59,10 @@
   using outcome_callback = std::function<void(const order_outcome&)>;
   // Sends an order to a control instance; calls `done` with the outcome. If the
   // instance is down or paused, that is order_outcome_unknown at once.
-  void SubmitOrder(std::size_t control, const published_order& order,
-                   outcome_callback done);
+  operator_call SubmitOrder(std::size_t control, const published_order& order,
+                            outcome_callback done);
+  // The operator closes the connection of the call.
+  void AbandonCall(std::size_t control, operator_call call);
   // Publishes a manifest. If it's acknowledged, checks that the newest
   // published version isn't older than it.
   void Publish(std::size_t control, std::uint64_t version,
