Targets: an address belongs to the target that reports with it

Cause: of two targets with one address, target_view took the one that names the later start as the successor and marked the other one as replaced until it restarts. A report is a claim; that the living target goes on reporting wasn't looked at. Evidence: target_changed replaced=<the living target>, and all resets with the reason target_over.

Change: a target is replaced once another one that started later reports with its address and its own reports have stopped at all control instances in contact. Its next report takes that back; new flows go to it again after 5 s, when a single delayed report would be over. A target that moves to another address leaves the old one. A report for a service that the newest manifest doesn't name isn't registered and is answered 503, unless the target was registered with that service.

--- a/Source/Control/control_instance.cc
+++ b/Source/Control/control_instance.cc
@@ -144,8 +144,30 @@
   return !voters.empty() && reachable_voters > voters.size() / 2;
 }
 
-bool control_instance::CanConfirmReport(instant now, target_phase phase) const {
-  return phase == target_phase::kReady || ReachesMajority(now);
+report_answer control_instance::AnswerTo(instant now,
+                                         const target_report& report) const {
+  if (!IsOfKnownService(report)) return report_answer::kUnknownService;
+  if (report.phase == target_phase::kReady) return report_answer::kConfirmed;
+  return AnswerToEnd(now);
+}
+
+report_answer control_instance::AnswerToEnd(instant now) const {
+  return ReachesMajority(now) ? report_answer::kConfirmed
+                              : report_answer::kNoMajority;
+}
+
+bool control_instance::IsOfKnownService(const target_report& report) const {
+  const manifest& newest = published_.published();
+  if (newest.version.value == 0) return true;
+  const bool is_named =
+      std::any_of(newest.services.begin(), newest.services.end(),
+                  [&](const manifest_service& service) {
+                    return service.name == report.service;
+                  });
+  if (is_named) return true;
+  const auto it = targets_.targets().find(report.id);
+  return it != targets_.targets().end() &&
+         it->second.report.service == report.service;
 }
 
 bool control_instance::IsTimely(instant now, instant received_at) const {
@@ -224,6 +246,11 @@
 }
 
 void control_instance::Handle(const target_report_received& event) {
+  if (!IsOfKnownService(event.report)) {
+    effects_.emplace_back(
+        target_report_evaluated{event.report, report_result::kUnknownService});
+    return;
+  }
   activities_.RecordReport(now_, event.report.data_centre);
   const report_result result = targets_.Report(now_, event.report);
   if (result == report_result::kChanged) {
--- a/Source/Control/control_instance.h
+++ b/Source/Control/control_instance.h
@@ -91,6 +91,15 @@
                  target_report_received, target_ended, control_message_received,
                  control_tick, seeds_changed, storage_failed, storage_restored>;
 
+// How a target's report, or the notice of its end, is answered. Unless it is
+// confirmed, the target should call another control instance.
+enum class report_answer {
+  kConfirmed,
+  kNoMajority,      // The report may not reach all followers.
+  kUnknownService,  // The newest manifest here doesn't name its service.
+  kOutdated,        // The caller may have called another instance since.
+};
+
 // Outcomes of an operator's call.
 
 // The order took effect, or it changes nothing in the newest state, which a
@@ -193,11 +202,12 @@
   // Whether this instance is in contact with a majority of the voters, itself
   // included if it votes.
   bool ReachesMajority(instant now) const;
-  // Whether the report of a target in this phase may be acknowledged. A target
-  // assumes that an acknowledged report reaches all followers. False for a
-  // target that isn't ready any more while this instance isn't in contact with
-  // a majority: the target should report to another control instance.
-  bool CanConfirmReport(instant now, target_phase phase) const;
+  // How a report that was handled is answered. A target assumes that a
+  // confirmed report reaches all followers. So that of a target which isn't
+  // ready any more is confirmed only in contact with a majority.
+  report_answer AnswerTo(instant now, const target_report& report) const;
+  // The same for the notice that a target has ended.
+  report_answer AnswerToEnd(instant now) const;
   // Whether the caller may still wait for the answer to a call that was read at
   // `received_at`. Otherwise it has sent the call to another control instance,
   // and later calls may contradict it. False also right after a suspension of
@@ -217,6 +227,11 @@
   void Handle(const seeds_changed& event);
   void Handle(const storage_failed& event);
   void Handle(const storage_restored& event);
+  // Whether the report may be registered: the manifest names its service, or
+  // the target was registered before its service was removed. Anything else may
+  // come from a writer that isn't a target, so it isn't taken as information on
+  // the target or its address.
+  bool IsOfKnownService(const target_report& report) const;
   // Passes the event to the agreement and applies the resulting effects.
   void ReduceAgreement(const agreement_event& event);
   void Apply(agreement_effect effect);
--- a/Source/Entry/entry_instance.cc
+++ b/Source/Entry/entry_instance.cc
@@ -118,12 +118,7 @@
   if (asked_since_resumed_ && message.update().current()) resumed_at_.reset();
   auto events = follower_.Apply(now, {message.from()}, message.update());
   RecordActivity(now, message.update());
-  for (const follower_event& event : events) {
-    const auto* change = std::get_if<target_change>(&event);
-    if (change == nullptr) continue;
-    CollectLostFlows(now, change->id);
-    if (change->replaced) CollectLostFlows(now, *change->replaced);
-  }
+  CollectLostFlows(now, events);
   ReviewWithdrawal(now);
   return events;
 }
@@ -171,6 +166,16 @@
   lost_flows_.insert(lost_flows_.end(), flows.begin(), flows.end());
 }
 
+void entry_instance::CollectLostFlows(
+    instant now, const std::vector<follower_event>& events) {
+  for (const follower_event& event : events) {
+    const auto* change = std::get_if<target_change>(&event);
+    if (change == nullptr) continue;
+    CollectLostFlows(now, change->id);
+    if (change->replaced) CollectLostFlows(now, *change->replaced);
+  }
+}
+
 std::vector<follow_request> entry_instance::Requests(instant now) {
   unanswered_report unanswered;
   if (router_.unanswered().has_unreported() &&
@@ -200,6 +205,7 @@
                       data_centres.end());
   lost_flows_.insert(lost_flows_.end(), flows.begin(), flows.end());
   auto events = follower_.Tick(now);
+  CollectLostFlows(now, events);
   ReviewWithdrawal(now);
   return events;
 }
--- a/Source/Entry/entry_instance.h
+++ b/Source/Entry/entry_instance.h
@@ -108,6 +108,8 @@
  private:
   // Adds the flows of the target to `lost_flows_` if it is lost or replaced.
   void CollectLostFlows(instant now, const target_id& id);
+  // The same for the targets in the events.
+  void CollectLostFlows(instant now, const std::vector<follower_event>& events);
   // Passes what the update tells about data centres to the router.
   void RecordActivity(instant now, const wire::update& update);
   // Applies the followed state to the withdrawal.
--- a/Source/Following/control_follower.cc
+++ b/Source/Following/control_follower.cc
@@ -18,6 +18,9 @@
 // Control instances send an update twice a second. If those of a data centre
 // send none for this long, the others are asked about the data centre.
 constexpr milliseconds kUpdateSilence{700};
+// There are several events within this time, so a longer gap means that the
+// process was suspended.
+constexpr milliseconds kSuspensionThreshold{1000};
 // Reports relayed by a control instance stay valid for this long after it was
 // lost or restarted: its targets back off before they report to another control
 // instance.
@@ -97,12 +100,14 @@
 std::vector<follower_event> control_follower::Apply(
     instant now, const instance_name& from, const wire::update& update) {
   std::vector<follower_event> events;
+  DetectSuspension(now);
   if (!controls_.contains(from) && controls_.size() >= kMaxControls) {
     return events;
   }
   if (!IsReachable(now, from)) events.emplace_back(control_found{from});
   followed_control& control = controls_[from];
   control.last_update = now;
+  state_.targets.RecordContact(now, from);
   control.unanswered_requests = 0;
   control.last_listed = now;
   control.reports_expiring = false;
@@ -303,6 +308,13 @@
   return requests;
 }
 
+void control_follower::DetectSuspension(instant now) {
+  if (last_event_at_ && now - *last_event_at_ > kSuspensionThreshold) {
+    state_.targets.IgnoreSilence(now);
+  }
+  last_event_at_ = now;
+}
+
 std::set<data_centre_name> control_follower::SilentDataCentres(
     instant now) const {
   std::set<data_centre_name> silent;
@@ -328,6 +340,7 @@
 
 std::vector<follower_event> control_follower::Tick(instant now) {
   std::vector<follower_event> events;
+  DetectSuspension(now);
   bool any_reachable = false;
   for (const auto& [name, control] : controls_) {
     any_reachable = any_reachable || IsReachable(now, name);
@@ -362,7 +375,12 @@
       ++it;
     }
   }
-  if (any_reachable) state_.targets.Forget(now, kTargetRetention);
+  if (any_reachable) {
+    for (target_change& change : state_.targets.ReviewAddresses(now)) {
+      events.emplace_back(std::move(change));
+    }
+    state_.targets.Forget(now, kTargetRetention);
+  }
   return events;
 }
 
--- a/Source/Following/control_follower.h
+++ b/Source/Following/control_follower.h
@@ -172,6 +172,8 @@
   // reports; packets of its open flows are forwarded.
   void LimitRestoredReport(instant now, target_report* report) const;
   void UpdateClosed(instant now);
+  // Call it at each event, to notice a suspension of the process until `now`.
+  void DetectSuspension(instant now);
   // Other data centres of which no control instance sends updates any more.
   std::set<data_centre_name> SilentDataCentres(instant now) const;
   // Chooses the first control instance to request the published state from.
@@ -183,6 +185,7 @@
   follower_settings settings_;
   routing_state state_;
   std::map<instance_name, followed_control> controls_;
+  std::optional<instant> last_event_at_;
   log_index applied_;
   manifest_version version_;
   milliseconds cold_start_{0};
--- a/Source/Model/fleet_model.cc
+++ b/Source/Model/fleet_model.cc
@@ -142,6 +142,9 @@
     published.routes[RouteOf(i)] = {.shares = {{request_class.service, 1}},
                                     .priority = request_class.priority};
   }
+  for (const model_service& service : scenario_.services) {
+    published.services.push_back({.name = service.name});
+  }
   std::vector<instance_name> names;
   for (std::size_t i = 0; i < kControlCount; ++i) names.push_back(ControlAt(i));
   for (std::size_t i = 0; i < kControlCount; ++i) {
--- a/Source/Runtime/control_loop.cc
+++ b/Source/Runtime/control_loop.cc
@@ -30,6 +30,8 @@
 constexpr milliseconds kCallTimeout{4000};
 // Minimum time between two log lines about abandoned rounds.
 constexpr milliseconds kRoundLineInterval{1000};
+// Minimum time between two log lines about reports for unknown services.
+constexpr milliseconds kUnknownServiceLineInterval{1000};
 // Most log lines about targets' weights in this time; the others are counted.
 constexpr milliseconds kWeightLineWindow{1000};
 constexpr int kMaxWeightLines = 20;
@@ -276,20 +278,19 @@
                                   {"reason", refused->reason}});
       pending->answer(adapter_.calls.answer_refused(*refused));
     } else if (auto* report = std::get_if<target_report_received>(&call)) {
-      const target_phase phase = report->report.phase;
-      Dispatch(std::move(*report));
+      Dispatch(*report);
       pending->answer(adapter_.calls.answer_report(
-          control_->CanConfirmReport(Now(), phase)));
+          control_->AnswerTo(Now(), report->report)));
     } else if (auto* ended = std::get_if<target_ended>(&call)) {
       if (pending->request.is_abandoned() ||
           !control_->IsTimely(Now(), pending->received_at)) {
         log_.Write("target_end_outdated", {{"target", ended->id.value}});
-        pending->answer(adapter_.calls.answer_report(false));
+        pending->answer(adapter_.calls.answer_report(report_answer::kOutdated));
         return;
       }
       Dispatch(std::move(*ended));
-      pending->answer(adapter_.calls.answer_report(
-          control_->CanConfirmReport(Now(), target_phase::kGone)));
+      pending->answer(
+          adapter_.calls.answer_report(control_->AnswerToEnd(Now())));
     } else {
       auto& order = std::get<published_order>(call);
       const operator_call id{++last_call_id_};
@@ -390,6 +391,11 @@
   }
   void Apply(const target_report_evaluated& effect) {
     const target_report& report = effect.report;
+    if (effect.result == report_result::kUnknownService) {
+      ++counts_.reports_of_unknown_services;
+      LogUnknownService(report);
+      return;
+    }
     ++counts_.reports[report.phase];
     log_.Write(
         "target_reported",
@@ -458,6 +464,19 @@
   }
   void Apply(const follower_event& effect) { LogFollowerEvent(&log_, effect); }
 
+  void LogUnknownService(const target_report& report) {
+    const instant now = Now();
+    if (now - last_unknown_service_line_ < kUnknownServiceLineInterval) return;
+    last_unknown_service_line_ = now;
+    log_.Write("target_report_refused",
+               {{"target", report.id.value},
+                {"service", report.service.value},
+                {"address", ToString(report.address)},
+                {"reason", "unknown service"},
+                {"total", static_cast<std::int64_t>(
+                              counts_.reports_of_unknown_services)}});
+  }
+
   void LogOrder(const http_request& request, const order_outcome& outcome,
                 microseconds waited) {
     std::string result = "done";
@@ -512,6 +531,7 @@
   // Start of the current window of weight lines, and the changes in it.
   instant weight_lines_since_;
   int weight_lines_ = 0;
+  instant last_unknown_service_line_;
   instant next_tick_;
 };
 
--- a/Source/Runtime/fleet_adapter.h
+++ b/Source/Runtime/fleet_adapter.h
@@ -55,9 +55,8 @@
   std::size_t max_body_bytes = 0;  // Largest request body.
   std::function<control_call(const http_request&)> decode;
   std::function<http_response(const refused_call&)> answer_refused;
-  // Answers a target's report or its notice. Unless `confirmed`, the target
-  // should report to another control instance.
-  std::function<http_response(bool confirmed)> answer_report;
+  // Answers a target's report or the notice of its end.
+  std::function<http_response(report_answer)> answer_report;
   // Answers an operator's order. `published` is the state that a read returns.
   // `calls_port` is the port at which control instances accept calls, for
   // redirects.
--- a/Source/Runtime/fleet_queries.cc
+++ b/Source/Runtime/fleet_queries.cc
@@ -192,6 +192,10 @@
   out.AddSingleSample("calls_refused_total", "counter",
                       "Invalid calls that were refused.",
                       view.counts.refused_calls);
+  out.AddSingleSample("reports_of_unknown_services_total", "counter",
+                      "Target reports that weren't registered because the "
+                      "manifest doesn't name their service.",
+                      view.counts.reports_of_unknown_services);
   out.AddSingleSample("majority_heard", "gauge",
                       "Whether a majority of the voters is reachable.",
                       control.ReachesMajority(view.now) ? 1 : 0);
--- a/Source/Runtime/fleet_queries.h
+++ b/Source/Runtime/fleet_queries.h
@@ -38,6 +38,7 @@
   // Reports that changed a target's state or were outdated, by phase.
   std::map<target_phase, std::uint64_t> reports;
   std::uint64_t refused_calls = 0;
+  std::uint64_t reports_of_unknown_services = 0;
   // Changed weights of targets, by finding.
   std::map<performance_finding, std::uint64_t> weight_changes;
 };
--- a/Source/Targets/target_registry.h
+++ b/Source/Targets/target_registry.h
@@ -54,6 +54,7 @@
   kUnchanged,  // Same content; only the time of receipt is updated.
   kChanged,    // The target got a new revision.
   kOutdated,   // Ignored: a newer report, or the target's end, is recorded.
+  kUnknownService,  // Not registered: no manifest names the service.
 };
 
 // Not thread-safe; all times are passed in.
--- a/Source/Targets/target_view.cc
+++ b/Source/Targets/target_view.cc
@@ -10,6 +10,12 @@
 // Targets report again within this time after a restart of their control
 // instance.
 constexpr milliseconds kRestoredReportLifetime{10'000};
+// A target whose control instance doesn't answer reports to another one within
+// this time.
+constexpr milliseconds kReportMoveTime{4000};
+// Longer than a control instance takes to find that a target is silent, so that
+// a single report that was delayed doesn't last as long.
+constexpr milliseconds kDoubtTime{5000};
 
 }  // namespace
 
@@ -31,6 +37,10 @@
       list.begin(), list.end(), target,
       [](const auto* a, const auto* b) { return a->report.id < b->report.id; });
   list.insert(position, target);
+  const ipv4_endpoint& address = target->report.address;
+  auto& sharing = by_address_[address];
+  sharing.push_back(target);
+  if (sharing.size() > 1) shared_addresses_.insert(address);
 }
 
 void target_view::RemoveFromIndexes(const known_target* target) {
@@ -40,34 +50,79 @@
     by_tag_.erase(it);
     break;
   }
-  auto list = by_service_.find(target->report.service);
-  if (list == by_service_.end()) return;
-  std::erase(list->second, target);
-  if (list->second.empty()) by_service_.erase(list);
-}
-
-// Of two targets with the same address, the one that started earlier is marked
-// as replaced.
-std::optional<target_id> target_view::ResolveAddress(instant now,
-                                                     known_target* target) {
-  auto [it, added] =
-      by_address_.try_emplace(target->report.address, target->report.id);
-  if (added || it->second == target->report.id) return std::nullopt;
-  auto other = targets_.find(it->second);
-  if (other == targets_.end()) {
-    it->second = target->report.id;
-    return std::nullopt;
+  if (auto list = by_service_.find(target->report.service);
+      list != by_service_.end()) {
+    std::erase(list->second, target);
+    if (list->second.empty()) by_service_.erase(list);
+  }
+  const ipv4_endpoint& address = target->report.address;
+  if (auto sharing = by_address_.find(address); sharing != by_address_.end()) {
+    std::erase(sharing->second, target);
+    if (sharing->second.size() < 2) shared_addresses_.erase(address);
+    if (sharing->second.empty()) by_address_.erase(sharing);
+  }
+}
+
+bool target_view::HasReporter(instant now, const known_target& target) const {
+  return std::any_of(target.reported_by.begin(), target.reported_by.end(),
+                     [&](const auto& entry) {
+                       const auto& [source, until] = entry;
+                       const auto contact = contacts_.find(source);
+                       return until > now && contact != contacts_.end() &&
+                              now - contact->second < kReportMoveTime;
+                     });
+}
+
+const known_target* target_view::FindSuccessor(
+    instant now, const known_target& target) const {
+  const auto found = by_address_.find(target.report.address);
+  if (found == by_address_.end()) return nullptr;
+  for (const known_target* other : found->second) {
+    if (other->report.version.started_ms > target.report.version.started_ms &&
+        other->report.phase != target_phase::kGone &&
+        HasReporter(now, *other)) {
+      return other;
+    }
+  }
+  return nullptr;
+}
+
+std::vector<target_view::replacement> target_view::ReviewAddress(
+    instant now, const ipv4_endpoint& address) {
+  std::vector<replacement> replacements;
+  const auto found = by_address_.find(address);
+  if (found == by_address_.end()) return replacements;
+  for (known_target* target : found->second) {
+    if (target->report.phase == target_phase::kGone) continue;
+    if (HasReporter(now, *target)) {
+      target->replaced = false;
+      continue;
+    }
+    const known_target* successor = FindSuccessor(now, *target);
+    if (target->replaced || successor == nullptr) continue;
+    target->replaced = true;
+    target->changed = now;
+    replacements.push_back({target->report.id, successor});
   }
-  known_target* current = other->second.get();
-  const bool is_newer =
-      target->report.version.started_ms > current->report.version.started_ms;
-  known_target* superseded = is_newer ? current : target;
-  if (is_newer) it->second = target->report.id;
-  if (superseded->replaced) return std::nullopt;
-  superseded->changed = now;
-  superseded->replaced = true;
-  if (!is_newer) return std::nullopt;
-  return superseded->report.id;
+  return replacements;
+}
+
+std::optional<target_id> target_view::FirstReplaced(
+    const std::vector<replacement>& replacements) {
+  if (replacements.empty()) return std::nullopt;
+  return replacements.front().replaced;
+}
+
+std::vector<target_change> target_view::ReviewAddresses(instant now) {
+  std::vector<target_change> changes;
+  for (const ipv4_endpoint& address : shared_addresses_) {
+    for (const auto& [replaced, by] : ReviewAddress(now, address)) {
+      changes.push_back({by->report.id, by->report.phase,
+                         by->reported_by.begin()->first, by->report.version,
+                         replaced});
+    }
+  }
+  return changes;
 }
 
 // A saved report doesn't show that the target is alive, so it counts only until
@@ -97,6 +152,7 @@
 std::optional<target_change> target_view::Apply(instant now,
                                                 const report_source& source,
                                                 const target_report& report) {
+  RecordContact(now, source);
   const bool is_silence_report = report.phase == target_phase::kSilent;
   auto [it, added] = targets_.try_emplace(report.id);
   if (added) {
@@ -116,11 +172,14 @@
     target.changed = now;
     target.unanswered = report.unanswered;
     AddToIndexes(&target);
-    auto replaced = ResolveAddress(now, &target);
-    if (is_silence_report) return std::nullopt;
-    if (report.phase != target_phase::kGone) {
+    if (!is_silence_report && report.phase != target_phase::kGone) {
       AddSource(now, source, report.restored, &target);
     }
+    if (FindSuccessor(now, target) != nullptr) {
+      target.doubtful_until = now + kDoubtTime;
+    }
+    auto replaced = FirstReplaced(ReviewAddress(now, report.address));
+    if (is_silence_report) return std::nullopt;
     return target_change{report.id, report.phase, source, report.version,
                          std::move(replaced)};
   }
@@ -143,7 +202,11 @@
   if (is_outdated) return std::nullopt;
   const bool is_change =
       report.phase != target.report.phase || !same_start || !was_reporting;
-  if (!same_start) target.replaced = false;
+  const bool had_reporter = HasReporter(now, target);
+  if (!same_start) {
+    target.replaced = false;
+    target.doubtful_until = {};
+  }
   RemoveFromIndexes(&target);
   target.report = report;
   target.cold_until = now + report.cold_left;
@@ -155,8 +218,11 @@
   } else {
     AddSource(now, source, report.restored, &target);
   }
-  auto replaced = ResolveAddress(now, &target);
-  if (!is_change) return std::nullopt;
+  if (!had_reporter && FindSuccessor(now, target) != nullptr) {
+    target.doubtful_until = now + kDoubtTime;
+  }
+  auto replaced = FirstReplaced(ReviewAddress(now, report.address));
+  if (!is_change && !replaced) return std::nullopt;
   target.changed = now;
   return target_change{report.id, report.phase, source, report.version,
                        std::move(replaced)};
@@ -172,6 +238,8 @@
 }
 
 void target_view::Forget(instant now, milliseconds after) {
+  std::erase_if(contacts_,
+                [&](const auto& entry) { return now - entry.second >= after; });
   for (auto it = targets_.begin(); it != targets_.end();) {
     const known_target& target = *it->second;
     const bool is_alive = !target.IsTerminated() && target.IsReporting(now);
@@ -179,10 +247,6 @@
       ++it;
       continue;
     }
-    auto position = by_address_.find(target.report.address);
-    if (position != by_address_.end() && position->second == it->first) {
-      by_address_.erase(position);
-    }
     RemoveFromIndexes(&target);
     it = targets_.erase(it);
   }
--- a/Source/Targets/target_view.h
+++ b/Source/Targets/target_view.h
@@ -35,9 +35,13 @@
   // Those of `reported_by` that only have a saved report, from before their
   // restart.
   std::set<report_source> restored_by;
-  // A target that started later has reported with the same address. Stays set
-  // until the target itself restarts.
+  // A target that started later reports with the same address, and this one
+  // doesn't report any more. Its next report resets this.
   bool replaced = false;
+  // Until then it gets no new flows: it has reported again although a target
+  // that started later reports with its address. The report may have been
+  // delayed.
+  instant doubtful_until;
   // Callers' packets to it went unanswered when its reports stopped. Its next
   // report resets this.
   bool unanswered = false;
@@ -49,8 +53,8 @@
   // Whether it may get new flows according to its own reports: ready, not cold
   // and not replaced.
   bool AcceptsNewFlows(instant now) const {
-    return !replaced && report.phase == target_phase::kReady &&
-           cold_until <= now;
+    return !replaced && doubtful_until <= now &&
+           report.phase == target_phase::kReady && cold_until <= now;
   }
   // Whether at least one control instance receives its reports.
   bool IsReporting(instant now) const;
@@ -69,14 +73,30 @@
 };
 
 // Not thread-safe; all times are passed in.
+//
+// A report doesn't prove that its sender has the address that it names. So an
+// address belongs to the target that reports with it for as long as its reports
+// arrive, whatever other targets report.
 class target_view {
  public:
+  // The source has sent an update: the reports that it relays are current.
+  void RecordContact(instant now, const report_source& source) {
+    contacts_[source] = now;
+  }
+  // Call it when this process was suspended until `now`: the time doesn't count
+  // as silence of the sources.
+  void IgnoreSilence(instant now) {
+    for (auto& [source, contact] : contacts_) contact = now;
+  }
   // Merges a report from `source`. Returns the change, if the report made one.
   std::optional<target_change> Apply(instant now, const report_source& source,
                                      const target_report& report);
   // Call it when the source was lost or has restarted: the reports from it are
   // valid only until `until`, unless the source sends them again.
   void ExpireSource(const report_source& source, instant until);
+  // Finds the targets whose address another target has taken over in the course
+  // of time. Returns the changes of those other targets. Call it regularly.
+  std::vector<target_change> ReviewAddresses(instant now);
   // Erases targets that are gone or replaced, or whose reports no control
   // instance receives, if they haven't changed for the time `after`.
   void Forget(instant now, milliseconds after);
@@ -96,9 +116,24 @@
   }
 
  private:
-  // Marks one of two targets with the same address as replaced. Returns the
-  // other one if it is replaced by `target` now.
-  std::optional<target_id> ResolveAddress(instant now, known_target* target);
+  // A target that has lost its address to another one.
+  struct replacement {
+    target_id replaced;
+    const known_target* by = nullptr;
+  };
+
+  // Decides for each target with the address whether it is replaced. Returns
+  // those that were not before.
+  std::vector<replacement> ReviewAddress(instant now,
+                                         const ipv4_endpoint& address);
+  static std::optional<target_id> FirstReplaced(
+      const std::vector<replacement>& replacements);
+  // Whether a source in contact receives the target's reports.
+  bool HasReporter(instant now, const known_target& target) const;
+  // A target that started later and reports with the same address; null if
+  // there is none.
+  const known_target* FindSuccessor(instant now,
+                                    const known_target& target) const;
   // Records that `source` has the report of the target.
   static void AddSource(instant now, const report_source& source, bool restored,
                         known_target* target);
@@ -109,8 +144,11 @@
   std::unordered_multimap<target_tag, const known_target*> by_tag_;
   std::unordered_map<service_name, std::vector<const known_target*>>
       by_service_;
-  // For each address, the target that started last among those that use it.
-  std::unordered_map<ipv4_endpoint, target_id> by_address_;
+  std::unordered_map<ipv4_endpoint, std::vector<known_target*>> by_address_;
+  // Addresses of more than one target.
+  std::set<ipv4_endpoint> shared_addresses_;
+  // Last update of each source.
+  std::map<report_source, instant> contacts_;
 };
 
 }  // namespace lavendertack
--- a/Source/UnitTests/Control/fleet_simulation.cc
+++ b/Source/UnitTests/Control/fleet_simulation.cc
@@ -25,8 +25,9 @@
   in >> content;
   for (const char letter : content) {
     const auto port = static_cast<unsigned char>(letter);
-    decoded.routes[{{1}, {port}}] = {.shares = {{{std::string(1, letter)}, 1}},
-                                     .priority = 0};
+    const service_name service{std::string(1, letter)};
+    decoded.routes[{{1}, {port}}] = {.shares = {{service, 1}}, .priority = 0};
+    decoded.services.push_back({.name = service});
   }
   return decoded;
 }
--- a/Source/UnitTests/Control/target_weights_test.cc
+++ b/Source/UnitTests/Control/target_weights_test.cc
@@ -106,6 +106,7 @@
         [](const std::string&) {
           manifest published{.version = {1}};
           published.routes[kRoute] = {.shares = {{kDesk, 1}}, .priority = 1};
+          published.services.push_back({.name = kDesk});
           return published;
         });
   }
--- a/Source/UnitTests/Following/control_follower_test.cc
+++ b/Source/UnitTests/Following/control_follower_test.cc
@@ -1,5 +1,6 @@
 #include "Following/control_follower.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <random>
 
@@ -327,7 +328,31 @@
     second_control.registry.Report(now, successor);
     now += kInterval;
     ExchangeUpdate(&follower, &second_control, now);
-    REQUIRE(find()->replaced);
+    REQUIRE_FALSE(find()->replaced);
+    // The saved report is valid for 10 s, and while the control instance that
+    // sent it is in contact.
+    const auto is_replaced_in = [&](milliseconds time) {
+      bool is_replaced = false;
+      for (const instant end = now + time; now < end;) {
+        now += kInterval;
+        ExchangeUpdate(&follower, &second_control, now);
+        for (const follower_event& event : follower.Tick(now)) {
+          const auto* change = std::get_if<target_change>(&event);
+          is_replaced |= change != nullptr && change->replaced == saved.id;
+        }
+      }
+      return is_replaced;
+    };
+    SECTION("once that is out of contact") {
+      REQUIRE_FALSE(is_replaced_in(milliseconds(3000)));
+      REQUIRE(is_replaced_in(milliseconds(1000)));
+      REQUIRE(find()->replaced);
+    }
+    SECTION("but not because this process was suspended") {
+      now += seconds(6);
+      REQUIRE_FALSE(is_replaced_in(milliseconds(2500)));
+      REQUIRE_FALSE(find()->replaced);
+    }
   }
   SECTION("once") {
     for (follow_request& request : follower.Requests(now + kInterval, {})) {
