Control, Platform: tests for full disks in turn and for odd reports

Two reports of other operators of similar systems, neither of which happens here: - Disks of control instances that are full for some seconds each, one after another: 36 runs in virtual time with 3, 4 and 5 instances, each disk full twice while orders are sent; afterwards each instance accepts orders, or names one that does, within 5 s.

--- a/Source/UnitTests/Control/fleet_run_test.cc
+++ b/Source/UnitTests/Control/fleet_run_test.cc
@@ -218,6 +218,52 @@
   }
 }
 
+// Replays disks that are full for some seconds each, one after another, while
+// operators send orders. Guards against a fleet that refuses changes after the
+// last disk has room again, although all processes run.
+TEST_CASE("full disks one after another") {
+  const std::size_t controls = GENERATE(3, 4, 5);
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    fleet_simulation fleet({.seed = seed,
+                            .controls = controls,
+                            .tolerated_losses = (controls - 1) / 2});
+    fleet.Run(kBootstrapTime);
+    REQUIRE(fleet.PublishUntilDone(1, seconds(2)));
+    std::uint64_t version = 1;
+    const auto send_orders = [&](milliseconds time) {
+      for (const instant end = fleet.Now() + time; fleet.Now() < end;) {
+        const std::size_t i = fleet.random()() % controls;
+        fleet.Publish(i, ++version, "ab");
+        fleet.SubmitOrder(i, set_evacuation{{"dc-1"}, version % 2 == 0},
+                          [](const order_outcome&) {});
+        fleet.Run(milliseconds(100));
+      }
+    };
+    for (std::size_t round = 0; round < 2 * controls; ++round) {
+      const milliseconds full(500 + 500 * (fleet.random()() % 7));
+      fleet.FillDisk(round % controls, full);
+      send_orders(full + milliseconds(1 + fleet.random()() % 3000));
+    }
+    INFO(controls << " control instances, seed " << seed);
+    for (std::size_t i = 0; i < controls; ++i) {
+      // Each instance accepts orders itself or names one that does.
+      std::optional<order_outcome> outcome;
+      const instant start = fleet.Now();
+      while (fleet.Now() < start + seconds(5)) {
+        fleet.SubmitOrder(i, publish_manifest{{++version}, "1 a"},
+                          [&](const order_outcome& o) { outcome = o; });
+        fleet.Run(milliseconds(300));
+        if (outcome &&
+            !std::holds_alternative<order_outcome_unknown>(*outcome)) {
+          break;
+        }
+      }
+      REQUIRE(outcome);
+      REQUIRE_FALSE(std::holds_alternative<order_outcome_unknown>(*outcome));
+    }
+  }
+}
+
 TEST_CASE("an isolated control instance acknowledges nothing") {
   fleet_simulation fleet({.seed = 7, .controls = 4, .tolerated_losses = 1});
   fleet.Run(kBootstrapTime);
--- a/Source/UnitTests/Platform/documents_test.cc
+++ b/Source/UnitTests/Platform/documents_test.cc
@@ -141,6 +141,47 @@
     REQUIRE(std::holds_alternative<document_errors>(
         ParseReport({"i-1"}, changed.dump())));
   }
+  // Guards against processes that end, or no longer follow the targets, because
+  // of one odd entry of another writer.
+  SECTION("an odd report names no target") {
+    const std::string valid = ValidReport().dump();
+    const auto is_refused = [](const std::string& text) {
+      return std::holds_alternative<document_errors>(
+          ParseReport({"i-1"}, text));
+    };
+    const auto with = [](const char* key, const std::string& value) {
+      json changed = ValidReport();
+      changed[key] = "@";
+      std::string text = changed.dump();
+      return text.replace(text.find("\"@\""), 3, value);
+    };
+    REQUIRE_FALSE(is_refused(valid));
+    for (const char* number :
+         {"1e400", "-1e400", "18446744073709551616", "9223372036854775808",
+          "-1", "1e19", "123456789012345678901234567890"}) {
+      for (const char* key :
+           {"born", "sequence", "concurrency", "cold_left_ms"}) {
+        INFO(key << " " << number);
+        REQUIRE(is_refused(with(key, number)));
+      }
+    }
+    for (const char* address :
+         {"\"10.0.0.9:65536\"", "\"10.0.0.9:-1\"", "\"10.0.0.9:\"",
+          "\"10.0.0.9:99999999999999999999\"", "\"256.0.0.9:80\""}) {
+      INFO(address);
+      REQUIRE(is_refused(with("address", address)));
+    }
+    for (const std::size_t depth : {17U, 1'000U, 120'000U}) {
+      const std::string open(depth, '[');
+      const std::string close(depth, ']');
+      REQUIRE(is_refused(with("extra", open + close)));
+      REQUIRE(is_refused(with("zone", open)));
+      REQUIRE(is_refused(open + close));
+      std::string objects;
+      for (std::size_t i = 0; i < depth; ++i) objects += "{\"a\":";
+      REQUIRE(is_refused(objects + "1" + std::string(depth, '}')));
+    }
+  }
   SECTION("an id without hexadecimal digits is refused") {
     REQUIRE(std::holds_alternative<document_errors>(
         ParseReport({"i-"}, ValidReport().dump())));
