Control: random test of orders to close and open a data centre

A paused instance of the simulation reads an order when it resumes; it used to be answered as unknown at once, which no platform does.

--- a/Source/UnitTests/Control/fleet_run_test.cc
+++ b/Source/UnitTests/Control/fleet_run_test.cc
@@ -1,4 +1,7 @@
 #include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
 
 #include "UnitTests/Control/fleet_simulation.h"
 
@@ -136,6 +139,106 @@
   });
 }
 
+// An operator who closes and opens a data centre in turn, and sends an order to
+// another control instance when it isn't confirmed within a second.
+class evacuating_operator {
+ public:
+  evacuating_operator(fleet_simulation* fleet, fault_injector* faults)
+      : fleet_(fleet), faults_(faults) {}
+
+  // Sends the order to one instance and waits for the confirmation, for a
+  // second at most.
+  bool Send(bool closed) {
+    const std::size_t i = fleet_->random()() % fleet_->control_count();
+    const auto confirmed = std::make_shared<std::optional<log_index>>();
+    const operator_call call = fleet_->SubmitOrder(
+        i, set_evacuation{kDataCentre, closed},
+        [confirmed](const order_outcome& outcome) {
+          const auto* done = std::get_if<order_done>(&outcome);
+          if (done != nullptr) *confirmed = done->applied;
+        });
+    Run(milliseconds(1000), [&] { return confirmed->has_value(); });
+    if (confirmed->has_value()) {
+      confirmed_closed_ = closed;
+      confirmed_at_ = **confirmed;
+      return true;
+    }
+    if (fleet_->random()() % 2 == 0 && fleet_->IsUp(i)) {
+      fleet_->AbandonCall(i, call);
+    }
+    return false;
+  }
+  // Runs for the time, or until the condition holds, while faults occur.
+  void Run(milliseconds time, const std::function<bool()>& until) {
+    for (const instant end = fleet_->Now() + time;
+         fleet_->Now() < end && !until();) {
+      if (has_faults && !faults_->IsRepairing() &&
+          fleet_->random()() % 6 == 0) {
+        faults_->Step();
+      }
+      fleet_->Run(milliseconds(50));
+    }
+  }
+  // Whether no instance that has the confirmed order shows another state.
+  bool IsInForce() const {
+    for (std::size_t i = 0; i < fleet_->control_count(); ++i) {
+      if (!fleet_->IsUp(i)) continue;
+      const control_instance& control = fleet_->control(i);
+      if (control.agreed().chosen_index() < confirmed_at_) continue;
+      if (control.published().closed().contains(kDataCentre) !=
+          confirmed_closed_) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  bool has_faults = true;
+
+ private:
+  static inline const data_centre_name kDataCentre{"dc-1"};
+
+  fleet_simulation* fleet_;
+  fault_injector* faults_;
+  bool confirmed_closed_ = false;
+  log_index confirmed_at_;
+};
+
+// Guards against an acknowledged evacuation that an earlier order undoes, which
+// its operator had given up: at an instance that was paused, cut off, killed or
+// out of disk space.
+TEST_CASE("the last acknowledged order to close or open a data centre holds") {
+  testing::ForEachSeed([](std::uint64_t seed) {
+    const std::size_t controls = 3 + seed % 3;
+    fleet_simulation fleet(
+        {.seed = seed, .controls = controls, .tolerated_losses = 1});
+    fleet.Run(kBootstrapTime);
+    REQUIRE(fleet.PublishUntilDone(1, seconds(2)));
+    fault_injector faults(&fleet, 1);
+    evacuating_operator evacuations(&fleet, &faults);
+    INFO("seed " << seed);
+    bool closed = false;
+    int confirmed = 0;
+    for (int order = 0; order < 120; ++order) {
+      if (!evacuations.Send(closed)) continue;
+      ++confirmed;
+      // Until the next order is sent.
+      evacuations.Run(milliseconds(fleet.random()() % 1500),
+                      [&] { return !evacuations.IsInForce(); });
+      REQUIRE(evacuations.IsInForce());
+      closed = !closed;
+    }
+    REQUIRE(confirmed > 10);
+    evacuations.has_faults = false;
+    fleet.Heal();
+    for (std::size_t i = 0; i < controls; ++i) fleet.Start(i);
+    for (int i = 0; i < 20 && !evacuations.Send(closed); ++i) {
+    }
+    evacuations.Run(seconds(6), [&] { return !evacuations.IsInForce(); });
+    REQUIRE(evacuations.IsInForce());
+  });
+}
+
 TEST_CASE("a fleet bootstraps from its seeds") {
   fleet_simulation fleet({.seed = 3, .controls = 5, .tolerated_losses = 2});
   fleet.Run(kBootstrapTime);
--- a/Source/UnitTests/Control/fleet_simulation.cc
+++ b/Source/UnitTests/Control/fleet_simulation.cc
@@ -366,12 +366,23 @@
                                             outcome_callback done) {
   control_node& node = controls_[i];
   const operator_call call{++next_call_};
-  if (node.instance == nullptr || Now() < node.paused_until) {
+  if (node.instance == nullptr) {
     done(order_outcome_unknown{"down"});
     return call;
   }
   node.calls[call] = std::move(done);
-  Dispatch(i, operator_order_received{call, order});
+  if (Now() >= node.paused_until) {
+    Dispatch(i, operator_order_received{call, order});
+    return call;
+  }
+  // The thread that reads the call runs some time after the event loop.
+  const milliseconds late(static_cast<std::int64_t>(random_() % 600));
+  queue_.ScheduleAfter(
+      node.paused_until - Now() + late,
+      [this, i, call, order, incarnation = node.incarnation] {
+        if (!IsUp(i) || controls_[i].incarnation != incarnation) return;
+        Dispatch(i, operator_order_received{call, order});
+      });
   return call;
 }
 
--- a/Source/UnitTests/Control/fleet_simulation.h
+++ b/Source/UnitTests/Control/fleet_simulation.h
@@ -58,7 +58,8 @@
 
   using outcome_callback = std::function<void(const order_outcome&)>;
   // Sends an order to a control instance; calls `done` with the outcome. If the
-  // instance is down or paused, that is order_outcome_unknown at once.
+  // instance is down, that is order_outcome_unknown at once. A paused instance
+  // reads the order when it resumes.
   operator_call SubmitOrder(std::size_t control, const published_order& order,
                             outcome_callback done);
   // The operator closes the connection of the call.
