review: case 7, a call whose caller gave up during the cut doesn't arrive

The proxy delivered what was written on a connection that was opened during the cut and closed before its end.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -65,9 +65,20 @@
         self.address = self.server.sockets[0].getsockname()
 
     async def carry(self, reader, writer):
-        # During the cut the opening packet is lost and sent again.
-        await self.net.deliver(now())
-        if reader.at_eof():
+        # During the cut the opening packet is lost and sent again; if the
+        # caller gives up meanwhile, nothing of the connection arrives.
+        opening = asyncio.create_task(self.net.deliver(now()))
+        data = await reader.read(65536)
+        if not opening.done() and data:
+            following = asyncio.create_task(reader.read(1))
+            await asyncio.wait({opening, following},
+                               return_when=asyncio.FIRST_COMPLETED)
+            if following.done():
+                data = b""
+            else:
+                following.cancel()
+        await opening
+        if not data:
             writer.close()
             return
         try:
@@ -76,9 +87,10 @@
             writer.close()
             return
         back = asyncio.create_task(self.answers(there[0], writer))
-        while data := await reader.read(65536):
+        while data:
             await self.net.deliver(now())
             there[1].write(data)
+            data = await reader.read(65536)
         await self.net.deliver(now())
         await asyncio.sleep(ROUND_TRIP_S)
         there[1].close()
