review: case 6, restarted new control machines found a second fleet (CONFIG)

Seen with review/6/run.sh: while all control machines are without power, three new ones, the only seeds, are stopped and started and found a fleet of their own. It confirms version 9; 12 s after the others are back, 12 of 24 reads answer version 7, and both fleets confirm changes.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -170,6 +170,7 @@
                 last += 1
         self.next_address = 100
         self.bootstrap = True
+        self.seeds = None  # Nodes that new settings name; None: the first three.
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             roles = tomllib.load(file)["roles"]
         self.commands = {
@@ -221,7 +222,7 @@
             "listen": listen,
             "internal_port_range": [self.peer_port, self.peer_port + 1],
             "seed_nodes": ["%s:%d" % (n.ip, self.control_port)
-                           for n in self.controls[:3]],
+                           for n in (self.seeds or self.controls[:3])],
             "bootstrap": self.bootstrap,
             "counts_as_loss": of.is_control,
             "limits": {"cpu_share": 0.3, "cpu_cores": 1, "memory_mb": 256,
@@ -243,10 +244,15 @@
             "config_mode": "highest", "flow_hash": "mod",
             "forwarding_mode": "echo"}
 
-    async def start(self, of):
+    def write_settings(self, of):
         path = os.path.join(self.folder, of.name + ".json")
-        with open(path, "w") as file:
+        with open(path + ".new", "w") as file:
             json.dump(self.settings(of), file)
+        os.rename(path + ".new", path)
+        return path
+
+    async def start(self, of):
+        path = self.write_settings(of)
         output = open(os.path.join(self.folder, of.name + ".log"), "a")
         command = self.commands["core" if of.is_control else "frontend"]
         of.process = await asyncio.create_subprocess_exec(
@@ -256,6 +262,13 @@
         output.close()
         self.log.write("platform started", of.name, "at", of.ip)
 
+    def add_control(self, zone):
+        """A new machine with a control instance and an empty disk."""
+        added = node("core-%d" % (len(self.controls) + 1),
+                     self.prefix + str(50 + len(self.nodes)), zone, True)
+        self.nodes.append(added)
+        return added
+
     async def start_all(self):
         for of in self.nodes:
             await self.start(of)
@@ -308,6 +321,20 @@
     def __init__(self, deploy, log):
         self.deploy, self.log = deploy, log
 
+    async def read(self, of):
+        """Reads the manifest at a node; returns (status, version or None)."""
+        ip = of.ip
+        for _ in range(3):
+            answer = await http(ip, self.deploy.control_port, "GET", b"/config")
+            if not answer or answer[0] != 307:
+                break
+            ip = answer[1].get("location", "").split("//")[-1].split(":")[0]
+        if not answer:
+            return "nothing", None
+        if answer[0] != 200:
+            return answer[0], None
+        return 200, json.loads(answer[2])["version"]
+
     async def order(self, method, path, body=b"", patience=15.0, first=None):
         """Sends an order until it is answered clearly; returns the status."""
         until, wait = now() + patience, 0.1
