--- a/review/8/case.py
+++ b/review/8/case.py
@@ -26,17 +26,6 @@
 PAUSE_S = 0.1
 
 
-def state_source(deploy, of):
-    """The control instance whose state the entry instance follows, by its
-    log."""
-    source = None
-    with open(os.path.join(deploy.folder, of.name + ".log")) as file:
-        for line in file:
-            if '"state_followed"' in line:
-                source = json.loads(line)["control"]
-    return source
-
-
 async def case(log, trouble):
     deploy = deployment(log, ZONES, CONTROLS, ENTRIES_PER_ZONE)
     old, new = (deploy.prefix + "9", 8080), (deploy.prefix + "9", 8443)
@@ -62,7 +51,7 @@
         # Two entry instances of a zone that follow different control instances.
         for zone in ZONES:
             here = [of for of in deploy.entries if of.zone == zone]
-            sources = {of.name: state_source(deploy, of) for of in here}
+            sources = {of.name: deploy.state_source(of) for of in here}
             if len(set(sources.values())) > 1:
                 break
         else:
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -156,7 +156,7 @@
                                       random.randint(1, 250))
         ports = self.free_ports(5)
         self.control_port, self.packet_port, self.ready_port = ports[:3]
-        self.peer_port = ports[3]
+        self.peer_port = self.entry_peer_port = ports[3]
         self.nodes, last = [], 10
         for i in range(controls):
             zone = self.zones[i % len(self.zones)]
@@ -220,7 +220,9 @@
             "ip": of.ip, "zone": of.zone, "region": "r",
             "zones": {zone: "r" for zone in self.zones},
             "listen": listen,
-            "internal_port_range": [self.peer_port, self.peer_port + 1],
+            "internal_port_range": [
+                self.peer_port if of.is_control else self.entry_peer_port,
+                65535],
             "seed_nodes": ["%s:%d" % (n.ip, self.control_port)
                            for n in (self.seeds or self.controls[:3])],
             "bootstrap": self.bootstrap,
@@ -262,6 +264,22 @@
         output.close()
         self.log.write("platform started", of.name, "at", of.ip)
 
+    def state_source(self, of):
+        """Address of the control instance whose state the entry instance
+        followed last, by its log."""
+        source = None
+        with open(os.path.join(self.folder, of.name + ".log")) as file:
+            for line in file:
+                if '"state_followed"' in line:
+                    source = json.loads(line)["control"]
+        return source
+
+    def add_entry(self, zone):
+        added = node("entry-%s-%d" % (zone, len(self.entries) + 1),
+                     self.prefix + str(50 + len(self.nodes)), zone, False)
+        self.nodes.append(added)
+        return added
+
     def add_control(self, zone):
         """A new machine with a control instance and an empty disk."""
         added = node("core-%d" % (len(self.controls) + 1),
