--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -42,10 +42,10 @@
 
 
 class record:
-    """Writes record.txt: what was sent, answered and run."""
+    """Writes what was sent, answered and run."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w")
+    def __init__(self, path):
+        self.file = open(path, "w")
         self.start = now()
 
     def write(self, *words):
@@ -701,7 +701,7 @@
 # ---- A case.
 
 
-async def play(case, folder, log):
+async def play(case, log):
     """Runs `case(log, trouble)`, which returns an exit code."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     log.write("trouble" if trouble else "no trouble")
@@ -709,10 +709,10 @@
 
 
 def main(case, path):
-    folder = os.path.dirname(os.path.abspath(path))
-    log = record(folder)
+    name = sys.argv[1] if len(sys.argv) > 1 else "record.txt"
+    log = record(os.path.join(os.path.dirname(os.path.abspath(path)), name))
     try:
-        code = asyncio.run(play(case, folder, log))
+        code = asyncio.run(play(case, log))
     except cannot_run as error:
         log.write("could not run:", error)
         code = NOT_RUN
