--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -504,8 +504,9 @@
         return confirmed
 
     def send(self, to, reply):
-        self.transport.sendto(reply.encode(),
-                              (text(to.src), self.deploy.packet_port))
+        if not self.transport.is_closing():
+            self.transport.sendto(reply.encode(),
+                                  (text(to.src), self.deploy.packet_port))
 
     def answer(self, to, flags, seq, ack, data=b""):
         self.send(to, packet(to.dst, to.dport, to.src, to.sport, flags,
@@ -591,7 +592,9 @@
     def send(self, out):
         flow = (out.src, out.sport, out.dst, out.dport)
         to = self.deploy.entry_for(self.zone, flow)
-        self.transport.sendto(out.encode(), (to.ip, self.deploy.packet_port))
+        if not self.transport.is_closing():
+            self.transport.sendto(out.encode(),
+                                  (to.ip, self.deploy.packet_port))
 
     async def request(self, route_ip, route_port):
         """Sends one request on a new flow; returns how it ended."""
